--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/Borrower.kt
@@ -0,0 +1,137 @@
+package ragwortbarrow.core.limits
+
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import ragwortbarrow.core.ids.CustomerId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.lease.withDeadline
+import ragwortbarrow.core.peer.AcquireItem
+import ragwortbarrow.core.peer.AcquireRequest
+import ragwortbarrow.core.peer.LimitShardId
+import ragwortbarrow.core.time.NANOS_PER_MILLI
+import ragwortbarrow.core.time.TimerService
+
+/** Some tokens of a lender's grant. */
+internal class BorrowedPart(val use: GrantUse, val tokens: Int)
+
+/**
+ * Borrows for one account from the accounts of the same customer in other failure domains. One borrow is in flight at
+ * a time; those that wait share the next one. After a borrow that found nothing, the account borrows nothing for a
+ * short while, so that a customer far over its rate causes no flood of messages.
+ */
+internal class Borrower(
+    private val self: VmId,
+    private val customer: CustomerId,
+    private val lenders: () -> List<LimitShardId>,
+    private val timer: TimerService,
+    private val directory: OwnerDirectory,
+    private val outbox: SettlementOutbox,
+    private val scope: CoroutineScope,
+    private val settings: LimitSettings,
+) {
+    private class Waiter(val tokens: Int) {
+        val parts = CompletableDeferred<List<BorrowedPart>>()
+    }
+
+    private val waiting = ArrayDeque<Waiter>()
+    private var inFlight = false
+    private var pausedUntilNanos: Long? = null
+    private val lastLevels = HashMap<LimitShardId, Int>()
+
+    /** Borrows up to [tokens]; the parts come from requests that were sent after this call. */
+    suspend fun borrow(tokens: Int): List<BorrowedPart> {
+        val waiter = Waiter(tokens)
+        val start = synchronized(this) {
+            if (isPaused()) return emptyList()
+            waiting += waiter
+            !inFlight.also { inFlight = true }
+        }
+        if (start) scope.launch { run() }
+        val parts = timer.withDeadline(settings.borrowDeadlineMillis) { waiter.parts.await() }
+        if (parts == null && !waiter.parts.complete(emptyList())) return waiter.parts.await()
+        return parts.orEmpty()
+    }
+
+    private fun isPaused() = pausedUntilNanos?.let { it - timer.nanoTime() > 0 } ?: false
+
+    private suspend fun run() {
+        while (true) {
+            val batch = synchronized(this) {
+                waiting.toList().also {
+                    waiting.clear()
+                    inFlight = it.isNotEmpty()
+                }
+            }
+            if (batch.isEmpty()) return
+            val parts = ask(batch.sumOf { it.tokens })
+            if (parts.isEmpty()) {
+                synchronized(this) {
+                    pausedUntilNanos = timer.nanoTime() + settings.borrowPauseMillis * NANOS_PER_MILLI
+                }
+            }
+            distribute(batch, parts)
+        }
+    }
+
+    private suspend fun ask(tokens: Int): List<BorrowedPart> {
+        val parts = ArrayList<BorrowedPart>()
+        var missing = tokens
+        for (shard in lendersByLevel()) {
+            if (missing == 0) break
+            val request = AcquireRequest(
+                self,
+                shard,
+                listOf(AcquireItem(customer, missing)),
+                outbox.takeSpent(shard),
+                lend = true,
+            )
+            val sentNanos = timer.nanoTime()
+            val reply = directory.acquire(request).get()
+            val grant = reply?.grants?.firstOrNull()
+            synchronized(this) { lastLevels[shard] = grant?.levelTokens ?: 0 }
+            if (grant == null || grant.tokens == 0) continue
+            val expiresNanos = sentNanos + grant.validityMillis * NANOS_PER_MILLI
+            val use = GrantUse(grant.grantId, shard, reply.fencingNumber, grant.tokens, expiresNanos, outbox)
+            if (!use.isValid(timer)) continue
+            parts += BorrowedPart(use, grant.tokens)
+            missing -= grant.tokens
+        }
+        return parts
+    }
+
+    /** The lenders in the order of their last known level; one that was never asked comes first. */
+    private fun lendersByLevel(): List<LimitShardId> = synchronized(this) {
+        lenders().filter(directory::isReachable)
+            .sortedByDescending { lastLevels[it] ?: Int.MAX_VALUE }
+            .take(MAX_LENDERS)
+    }
+
+    private fun distribute(batch: List<Waiter>, parts: List<BorrowedPart>) {
+        val rest = ArrayDeque(parts)
+        for (waiter in batch) {
+            val own = takeTokens(rest, waiter.tokens)
+            if (!waiter.parts.complete(own)) own.forEach { it.use.settle(it.tokens, unspent = it.tokens) }
+        }
+        rest.forEach { it.use.settle(it.tokens, unspent = it.tokens) }
+    }
+
+    private fun takeTokens(rest: ArrayDeque<BorrowedPart>, tokens: Int): List<BorrowedPart> {
+        val taken = ArrayList<BorrowedPart>()
+        var missing = tokens
+        while (missing > 0 && rest.isNotEmpty()) {
+            val part = rest.removeFirst()
+            val count = minOf(missing, part.tokens)
+            taken += BorrowedPart(part.use, count)
+            if (count < part.tokens) rest.addFirst(BorrowedPart(part.use, part.tokens - count))
+            missing -= count
+        }
+        return taken
+    }
+
+    private companion object {
+        /** At most this many lenders are asked in one borrow, to bound the messages of a customer over its rate. */
+        const val MAX_LENDERS = 3
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/TokenSource.kt
@@ -0,0 +1,22 @@
+package ragwortbarrow.core.limits
+
+import com.github.michaelbull.result.Result
+import ragwortbarrow.core.peer.AcquireReply
+import ragwortbarrow.core.peer.AcquireRequest
+import ragwortbarrow.core.peer.PeerError
+import ragwortbarrow.core.peer.PeerService
+import ragwortbarrow.core.peer.ReturnRequest
+
+/** The part of a node that owns limit shards, local or remote. */
+internal interface TokenSource {
+    suspend fun acquire(request: AcquireRequest): Result<AcquireReply, PeerError>
+
+    suspend fun giveBack(request: ReturnRequest): Result<Unit, PeerError>
+
+    /** Offers a remote node's functions as a token source. */
+    class Remote(private val peer: PeerService) : TokenSource {
+        override suspend fun acquire(request: AcquireRequest) = peer.acquire(request)
+
+        override suspend fun giveBack(request: ReturnRequest) = peer.giveBack(request)
+    }
+}
