--- a/core/src/main/kotlin/ragwortbarrow/core/limits/OwnerDirectory.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/OwnerDirectory.kt
@@ -75,7 +75,8 @@
         val failed = failedAtNanos[vm]
         val pauseNanos = settings.unreachablePauseMillis * NANOS_PER_MILLI
         if (failed != null && timer.nanoTime() - failed < pauseNanos) return null
-        val member = members.member(vm)?.takeIf { it in members.live(it.failureDomain) } ?: return null
+        val member = members.member(vm) ?: return null
+        if (members.live(member.failureDomain).none { it.vm == vm }) return null
         return TokenSource.Remote(connector.connect(member.peerAddress))
     }
 
