--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/ListAll.kt
@@ -0,0 +1,23 @@
+package ragwortbarrow.core.store
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+
+/**
+ * Lists every object of [kind], page by page. The version is that of the first page: later pages may be newer, so a
+ * watch from it repeats changes but misses none.
+ */
+suspend fun ObjectStore.listAll(kind: ObjectKind, metadataOnly: Boolean = false): Result<ObjectPage, StoreError> {
+    val objects = mutableListOf<StoredObject>()
+    var token: String? = null
+    var version: Long? = null
+    do {
+        val page = list(kind, continueToken = token, metadataOnly = metadataOnly).getOrElse { return Err(it) }
+        objects += page.items
+        version = version ?: page.listVersion
+        token = page.continueToken
+    } while (token != null)
+    return Ok(ObjectPage(objects, version))
+}
--- a/core/src/main/kotlin/ragwortbarrow/core/store/MemoryObjectStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/MemoryObjectStore.kt
@@ -117,6 +117,16 @@
         return stored
     }
 
+    /** A copy of the present objects, without faults and without the history that watches read. */
+    @Synchronized
+    fun copy(): MemoryObjectStore {
+        val copy = MemoryObjectStore(maxValueBytes = maxValueBytes, historyLimit = historyLimit)
+        objects.forEach { (kind, byName) -> copy.objects.getValue(kind).putAll(byName) }
+        copy.version.value = version.value
+        copy.historyStartVersion = version.value
+        return copy
+    }
+
     private suspend fun <T> call(
         operation: StoreOperation,
         kind: ObjectKind,
