--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationStatus.kt
@@ -0,0 +1,11 @@
+package ragwortbarrow.core.config
+
+/**
+ * The version in force on a node and the newest version that it rejected, with the reason. A node reports both in its
+ * `vmleases` object, after the "Applied configuration resource" of 7/CMP (Kaa Configuration Management Protocol).
+ */
+data class ConfigurationStatus(
+    val appliedVersion: Long = 0,
+    val rejectedVersion: Long = 0,
+    val rejectedReason: String = "",
+)
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
@@ -0,0 +1,169 @@
+package ragwortbarrow.core.config
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.SerializationException
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.log.record
+import ragwortbarrow.core.membership.MemberView
+import ragwortbarrow.core.membership.WatcherElection
+import ragwortbarrow.core.peer.MemberInfo
+import ragwortbarrow.core.peer.PeerConnector
+import ragwortbarrow.core.store.KindWatcher
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectStore
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.store.StoredObject
+import ragwortbarrow.core.time.TimerService
+import kotlin.random.Random
+
+/**
+ * Brings each new configuration to this node. The watchers of a failure domain follow the platform; every other node
+ * pulls the head and the parts it lacks from a peer as soon as gossip shows a higher version. A node that restarts
+ * during an outage of the platform therefore gets the configuration from its peers alone.
+ *
+ * [platformHeard] is called whenever the platform has confirmed that this node misses nothing.
+ */
+class ConfigurationSync(
+    private val store: ObjectStore,
+    private val holder: ConfigurationHolder,
+    private val members: MemberView,
+    private val connector: PeerConnector,
+    private val timer: TimerService,
+    private val scope: CoroutineScope,
+    private val decisionLog: DecisionLog = DecisionLog.NONE,
+    private val platformHeard: () -> Unit = {},
+    private val election: WatcherElection = WatcherElection(members),
+    private val peerCheckMillis: Long = 500,
+    private val partsPerCall: Int = 16,
+    private val random: Random = Random.Default,
+) {
+    private val applying = Mutex()
+    private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+    private var jobs: List<Job> = emptyList()
+    private var stopTimer: () -> Unit = {}
+    private val watcher = KindWatcher(
+        kind = ObjectKind.CONFIGURATIONS,
+        store = store,
+        timer = timer,
+        scope = scope,
+        elected = election::isWatcher,
+        changed = ::headChanged,
+        confirmed = { platformHeard() },
+        decisionLog = decisionLog,
+        random = random,
+    )
+
+    @Synchronized
+    fun start() {
+        if (jobs.isNotEmpty()) return
+        watcher.start()
+        jobs = listOf(scope.launch { for (wakeUp in wakeUps) pullFromPeers() })
+        stopTimer = timer.every(peerCheckMillis) { versionSeen() }.let { subscription -> { subscription.cancel() } }
+    }
+
+    @Synchronized
+    fun stop() {
+        watcher.stop()
+        stopTimer()
+        jobs.forEach { it.cancel() }
+        jobs = emptyList()
+    }
+
+    /** Tells that gossip has changed a member's version; without this call the change is found at the next check. */
+    fun versionSeen() {
+        wakeUps.trySend(Unit)
+    }
+
+    /** Answers a peer's request for the head. */
+    fun fetchHead(): ConfigurationHead? = holder.head
+
+    /** Answers a peer's request for parts. */
+    fun fetchParts(sha256: List<String>): List<ConfigurationPart> = sha256.mapNotNull(holder::part)
+
+    private suspend fun headChanged(stored: StoredObject) {
+        if (stored.name != ConfigurationObjects.HEAD) return
+        val head = try {
+            ConfigurationObjects.headOf(stored)
+        } catch (failure: SerializationException) {
+            decisionLog.record("configuration_unreadable", "version" to stored.version, "reason" to failure.message)
+            return
+        }
+        if (!apply(head, peersWith(head.version))) throw PartsMissingException(head.version)
+    }
+
+    private suspend fun pullFromPeers() {
+        for (peer in peersWith(holder.status.appliedVersion + 1)) {
+            if (!holder.wants(peer.configurationVersion)) continue
+            try {
+                val head = connector.connect(peer.peerAddress).fetchHead().get() ?: continue
+                if (apply(head, listOf(peer) + peersWith(head.version).filter { it.vm != peer.vm })) return
+            } catch (failure: CancellationException) {
+                throw failure
+            } catch (failure: Exception) {
+                decisionLog.record("configuration_pull_failed", "peer" to peer.vm, "reason" to failure.message)
+            }
+        }
+    }
+
+    /** Returns false if parts of [head] could not be had; the caller tries again later. */
+    private suspend fun apply(head: ConfigurationHead, peers: List<MemberInfo>): Boolean = applying.withLock {
+        if (!holder.wants(head.version)) return@withLock true
+        val parts = HashMap<String, ConfigurationPart>()
+        fun missing() = head.parts.map { it.sha256 }.distinct().filter { it !in parts && holder.part(it) == null }
+        for (peer in peers) {
+            missing().chunked(partsPerCall).forEach { digests -> takeFromPeer(peer, digests, parts) }
+        }
+        missing().forEach { digest -> takeFromPlatform(digest)?.let { parts[digest] = it } }
+        val stillMissing = missing()
+        if (stillMissing.isNotEmpty()) {
+            decisionLog.record("configuration_parts_missing", "version" to head.version, "count" to stillMissing.size)
+            return@withLock false
+        }
+        holder.offer(head) { parts[it] ?: holder.part(it) }
+        true
+    }
+
+    private suspend fun takeFromPeer(
+        peer: MemberInfo,
+        digests: List<String>,
+        parts: MutableMap<String, ConfigurationPart>,
+    ) {
+        connector.connect(peer.peerAddress).fetchParts(digests).getOrElse { emptyList() }
+            .filter { it.sha256 in digests && it.hasItsDigest() }
+            .forEach { parts[it.sha256] = it }
+    }
+
+    private suspend fun takeFromPlatform(digest: String): ConfigurationPart? =
+        store.get(ObjectKind.CONFIGURATION_PARTS, digest).fold(
+            { stored -> ConfigurationObjects.partOf(stored).takeIf { it.sha256 == digest && it.hasItsDigest() } },
+            { error ->
+                if (error !is StoreError.NotFound) {
+                    decisionLog.record("configuration_part_failed", "part" to digest, "reason" to error.message)
+                }
+                null
+            },
+        )
+
+    /** Live peers that have [version] or a newer one, up to three, those of the own failure domain first. */
+    private fun peersWith(version: Long): List<MemberInfo> = members.live()
+        .filter { it.vm != members.self.vm && it.configurationVersion >= version }
+        .shuffled(random)
+        .sortedBy { it.failureDomain != members.self.failureDomain }
+        .take(PEERS_PER_PULL)
+
+    private companion object {
+        const val PEERS_PER_PULL = 3
+    }
+}
+
+/** Ends a pass of the watcher, so that the head is listed and tried again after a pause. */
+private class PartsMissingException(version: Long) : Exception("parts of configuration $version are missing")
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/keys/KeyObjects.kt
@@ -0,0 +1,17 @@
+package ragwortbarrow.core.keys
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.decodeFromJsonElement
+import kotlinx.serialization.json.encodeToJsonElement
+import kotlinx.serialization.json.jsonObject
+import ragwortbarrow.core.store.StoredObject
+import ragwortbarrow.core.store.storeJson
+
+/** The platform objects of grants; a tombstone has no content besides its name and the writer token. */
+object KeyObjects {
+    fun grantOf(stored: StoredObject): KeyGrant = storeJson.decodeFromJsonElement(stored.spec)
+
+    fun specOf(grant: KeyGrant): JsonObject = storeJson.encodeToJsonElement(grant).jsonObject
+
+    val tombstoneSpec: JsonObject = JsonObject(emptyMap())
+}
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/membership/VmLease.kt
@@ -0,0 +1,36 @@
+package ragwortbarrow.core.membership
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.decodeFromJsonElement
+import kotlinx.serialization.json.encodeToJsonElement
+import kotlinx.serialization.json.jsonObject
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.store.StoredObject
+import ragwortbarrow.core.store.storeJson
+
+/**
+ * The content of a `vmleases` object, named by the VM id. The lease has expired when the object has not changed for
+ * [termMillis] by the reader's own clock; the object of a VM that has stopped is deleted.
+ */
+@Serializable
+data class VmLease(
+    val incarnation: Long,
+    val failureDomain: FailureDomainId,
+    val peerAddress: String,
+    val httpAddress: String,
+    val termMillis: Long,
+    val renewal: Long = 0,
+    val appliedVersion: Long = 0,
+    val rejectedVersion: Long = 0,
+    val rejectedReason: String = "",
+) {
+    fun toSpec(): JsonObject = storeJson.encodeToJsonElement(this).jsonObject
+
+    companion object {
+        fun of(stored: StoredObject): VmLease = storeJson.decodeFromJsonElement(stored.spec)
+
+        fun vmOf(stored: StoredObject): VmId = VmId(stored.name)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/membership/VmLeaseKeeper.kt
@@ -0,0 +1,146 @@
+package ragwortbarrow.core.membership
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import ragwortbarrow.core.config.ConfigurationStatus
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.log.record
+import ragwortbarrow.core.peer.MemberInfo
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectStore
+import ragwortbarrow.core.store.SafeWriter
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.store.StoredObject
+import ragwortbarrow.core.time.NANOS_PER_MILLI
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.pause
+import kotlin.random.Random
+
+/**
+ * Keeps this node's `vmleases` object: renews it every [renewMillis], reports the applied or rejected configuration
+ * version in it, and deletes it on a graceful stop.
+ *
+ * Others take over this node's chunks when the lease has expired, so [isHeld] compares the monotonic clock with the
+ * term, counted from the instant before the last successful renewal was sent, less a margin.
+ */
+class VmLeaseKeeper(
+    private val store: ObjectStore,
+    private val writer: SafeWriter,
+    private val timer: TimerService,
+    private val scope: CoroutineScope,
+    private val self: MemberInfo,
+    private val configurationStatus: () -> ConfigurationStatus = { ConfigurationStatus() },
+    private val decisionLog: DecisionLog = DecisionLog.NONE,
+    private val termMillis: Long = 30_000,
+    private val renewMillis: Long = 10_000,
+    private val marginMillis: Long = 1_000,
+    private val retryMillis: Long = 1_000,
+    private val random: Random = Random.Default,
+) {
+    private var job: Job? = null
+    private var current: StoredObject? = null
+    private var renewal = 0L
+
+    @Volatile
+    private var heldUntilNanos: Long? = null
+
+    /** Whether the lease is certainly still valid. */
+    fun isHeld(): Boolean = heldUntilNanos?.let { timer.nanoTime() - it < 0 } ?: false
+
+    @Synchronized
+    fun start() {
+        if (job == null) job = scope.launch { run() }
+    }
+
+    /** Stops renewing and deletes the object, so that others need not wait for the term. */
+    suspend fun stop() {
+        synchronized(this) { job.also { job = null } }?.let {
+            it.cancel()
+            it.join()
+        }
+        heldUntilNanos = null
+        // Read again, because a renewal that the stop interrupted may have taken effect.
+        val lease = read().getOrElse { current } ?: return
+        if (VmLease.of(lease).incarnation != self.incarnation) return
+        writer.delete(lease).fold(
+            { current = null },
+            { decisionLog.record("vm_lease_not_released", "reason" to it.message) },
+        )
+    }
+
+    private suspend fun run() {
+        while (true) {
+            val delayMillis = renew().fold(
+                { renewMillis },
+                { error ->
+                    decisionLog.record("vm_lease_not_renewed", "reason" to error.message)
+                    if (error is Reason.Superseded) return
+                    retryMillis / 2 + random.nextLong(retryMillis)
+                },
+            )
+            timer.pause(delayMillis)
+        }
+    }
+
+    private suspend fun renew(): Result<Unit, Reason> {
+        val sentAtNanos = timer.nanoTime()
+        val known = current ?: read().getOrElse { return Err(Reason.Failed(it.message)) }
+        val incarnation = known?.let { VmLease.of(it).incarnation }
+        if (incarnation != null && incarnation > self.incarnation) {
+            heldUntilNanos = null
+            return Err(Reason.Superseded(incarnation))
+        }
+        val spec = leaseNow().toSpec()
+        val written = when (known) {
+            null -> writer.create(ObjectKind.VM_LEASES, self.vm.value, spec)
+            else -> writer.update(known, spec)
+        }
+        return written.fold(
+            {
+                current = it
+                heldUntilNanos = sentAtNanos + (termMillis - marginMillis) * NANOS_PER_MILLI
+                Ok(Unit)
+            },
+            {
+                // The object is read again before the next attempt.
+                current = null
+                Err(Reason.Failed(it.message))
+            },
+        )
+    }
+
+    private suspend fun read(): Result<StoredObject?, StoreError> = store.get(ObjectKind.VM_LEASES, self.vm.value)
+        .fold({ Ok(it) }, { if (it is StoreError.NotFound) Ok(null) else Err(it) })
+
+    private fun leaseNow(): VmLease {
+        val status = configurationStatus()
+        return VmLease(
+            incarnation = self.incarnation,
+            failureDomain = self.failureDomain,
+            peerAddress = self.peerAddress,
+            httpAddress = self.httpAddress,
+            termMillis = termMillis,
+            renewal = ++renewal,
+            appliedVersion = status.appliedVersion,
+            rejectedVersion = status.rejectedVersion,
+            rejectedReason = status.rejectedReason,
+        )
+    }
+
+    private sealed interface Reason {
+        val message: String
+
+        data class Failed(override val message: String) : Reason
+
+        /** A newer process runs on this VM; this one must not renew again. */
+        data class Superseded(val incarnation: Long) : Reason {
+            override val message: String get() = "incarnation $incarnation of this VM has the lease"
+        }
+    }
+}
