Add routing, retries, fair queue and the online service

Cause: the ports of the online path had no implementation. Ruled out: choosing by own in-flight counts alone, because several nodes share a server; and refusing at once when all servers are full, because a short wait in a fair queue serves most of these requests.

--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/routing/RoutedOnlineService.kt
@@ -0,0 +1,246 @@
+package ragwortbarrow.core.routing
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.transformWhile
+import kotlinx.coroutines.launch
+import ragwortbarrow.core.backend.AttemptOutcome
+import ragwortbarrow.core.backend.BackendAnswer
+import ragwortbarrow.core.backend.BackendClient
+import ragwortbarrow.core.backend.StreamEvent
+import ragwortbarrow.core.config.ConfigurationView
+import ragwortbarrow.core.error.Execution
+import ragwortbarrow.core.error.ResultCode
+import ragwortbarrow.core.error.ServingError
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.log.record
+import ragwortbarrow.core.manifest.BackendServer
+import ragwortbarrow.core.time.TimerService
+import kotlin.random.Random
+
+/**
+ * Serves online requests: fair queue, choice of a backend server, attempts, retries where they are safe, and the check
+ * that the caller gets the whole answer to its own request.
+ */
+class RoutedOnlineService(
+    private val client: BackendClient,
+    private val configuration: ConfigurationView,
+    private val timer: TimerService,
+    private val failureDomain: FailureDomainId,
+    val loads: BackendLoads = BackendLoads(timer),
+    private val health: ServerHealth = ServerHealth(timer),
+    private val retryBudget: RetryBudget = RetryBudget(),
+    private val maxAttempts: Int = 3,
+    private val random: Random = Random.Default,
+    private val decisionLog: DecisionLog = DecisionLog.NONE,
+    private val isLeaving: (BackendServerId) -> Boolean = { false },
+    private val router: Router = Router(loads, health, failureDomain, random, decisionLog, isLeaving),
+    dispatcher: CoroutineDispatcher = Dispatchers.Default,
+) : OnlineService {
+    private val slots = SlotQueue(router, loads, configuration, timer)
+    private val retries = RetryPolicy(retryBudget, maxAttempts)
+
+    // Cancels at backend servers must neither delay a retry nor end with the caller that left.
+    private val cancels = CoroutineScope(SupervisorJob() + dispatcher)
+
+    fun start() {
+        slots.start()
+        configuration.subscribe { snapshot ->
+            loads.retain(snapshot.backendServers.keys)
+            health.retain(snapshot.backendServers.keys)
+            retryBudget.retain(snapshot.customers.keys)
+        }
+    }
+
+    fun stop() {
+        slots.stop()
+        cancels.cancel()
+    }
+
+    /** The number of requests that wait for a slot. */
+    fun waiting(): Int = slots.waiting()
+
+    override suspend fun answer(call: OnlineCall): Result<BackendAnswer, ServingError> {
+        retries.onRequest(call.customer)
+        val attempts = Attempts()
+        while (true) {
+            val server = slots.acquire(call, attempts.failedServers)
+                .getOrElse { return Err(attempts.refusal(it)) }
+            val outcome = send(server, call)
+            if (outcome is AttemptOutcome.Answered) return Ok(outcome.answer)
+            attempts.failed(server.id, outcome)
+            giveUp(call, server, attempts, outcome)?.let { return Err(it) }
+        }
+    }
+
+    override fun stream(call: OnlineCall): Flow<CallerEvent> = flow {
+        retries.onRequest(call.customer)
+        val attempts = Attempts()
+        val assembly = StreamAssembly()
+        var last: CallerEvent? = null
+        while (last == null) {
+            last = slots.acquire(call, attempts.failedServers).fold(
+                success = { server -> streamOnce(server, call, attempts, assembly) },
+                failure = { CallerEvent.Failed(streamError(assembly, attempts.refusal(it))) },
+            )
+        }
+        emit(last)
+    }
+
+    private suspend fun send(server: BackendServer, call: OnlineCall): AttemptOutcome {
+        var outcome: AttemptOutcome? = null
+        try {
+            outcome = client.send(server, call.request)
+            noteHealth(server, outcome.takeIf { it !is AttemptOutcome.Answered })
+            return outcome
+        } finally {
+            val stillRuns = outcome == null || outcome is AttemptOutcome.Unknown
+            if (stillRuns) cancelAt(server, call)
+            slots.release(server.id)
+        }
+    }
+
+    /** Streams from [server]; returns the final event, or null if the stream is to be restarted elsewhere. */
+    private suspend fun FlowCollector<CallerEvent>.streamOnce(
+        server: BackendServer,
+        call: OnlineCall,
+        attempts: Attempts,
+        assembly: StreamAssembly,
+    ): CallerEvent? {
+        var end: StreamEnd? = null
+        try {
+            end = relay(client.stream(server, call.request), assembly)
+            end = resumeWhileBroken(end, server, call, assembly)
+        } finally {
+            if (end == null || end is StreamEnd.Broken || end is StreamEnd.Diverged) cancelAt(server, call)
+            slots.release(server.id)
+        }
+        return when (end) {
+            StreamEnd.Done -> CallerEvent.Completed.also { noteHealth(server, null) }
+
+            is StreamEnd.Answered -> CallerEvent.Answered(end.answer).also { noteHealth(server, null) }
+
+            is StreamEnd.Diverged -> CallerEvent.Failed(streamBroken(end.reason))
+
+            is StreamEnd.Broken -> {
+                noteHealth(server, end.outcome)
+                attempts.failed(server.id, end.outcome)
+                giveUp(call, server, attempts, end.outcome)?.let { CallerEvent.Failed(streamError(assembly, it)) }
+            }
+        }
+    }
+
+    /**
+     * Asks the same server for the rest. That repeats no work, so it is allowed for calls that must not be repeated,
+     * but it counts towards the retry budget. A server that went silent is not asked again.
+     */
+    private suspend fun FlowCollector<CallerEvent>.resumeWhileBroken(
+        first: StreamEnd,
+        server: BackendServer,
+        call: OnlineCall,
+        assembly: StreamAssembly,
+    ): StreamEnd {
+        var end = first
+        repeat(MAX_RESUMES) {
+            val broken = end as? StreamEnd.Broken ?: return end
+            val silent = (broken.outcome as? AttemptOutcome.Unknown)?.timedOut == true
+            val refused = broken.outcome is AttemptOutcome.NotRun
+            if (assembly.nextOffset == 0L || silent || refused || !retryBudget.tryRetry(call.customer)) return end
+            logRetry(call, server, "resume", broken.outcome)
+            end = relay(client.resume(server, call.request.requestId, assembly.nextOffset), assembly)
+        }
+        return end
+    }
+
+    private suspend fun FlowCollector<CallerEvent>.relay(
+        source: Flow<StreamEvent>,
+        assembly: StreamAssembly,
+    ): StreamEnd {
+        var end: StreamEnd? = null
+        source.transformWhile { event ->
+            when (val step = assembly.accept(event)) {
+                is StreamStep.Deliver -> emit(CallerEvent.Chunk(step.chunk.offset, step.chunk.data))
+                StreamStep.Skip -> Unit
+                is StreamStep.End -> end = step.end
+            }
+            end == null
+        }.collect { emit(it) }
+        return end ?: StreamEnd.Broken(AttemptOutcome.Unknown("the stream ended without a final event"))
+    }
+
+    private fun giveUp(
+        call: OnlineCall,
+        server: BackendServer,
+        attempts: Attempts,
+        outcome: AttemptOutcome,
+    ): ServingError? = when (val decision = retries.decide(call, outcome, attempts.count, attempts.mayHaveRun)) {
+        is RetryDecision.GiveUp -> decision.error
+
+        RetryDecision.Retry -> {
+            logRetry(call, server, "retry", outcome)
+            null
+        }
+    }
+
+    private fun streamError(assembly: StreamAssembly, error: ServingError): ServingError =
+        if (assembly.nextOffset == 0L) error else streamBroken(error.message)
+
+    private fun streamBroken(reason: String) = ServingError.BackendFailed(
+        ResultCode.STREAM_BROKEN,
+        "the stream cannot be continued: $reason",
+        Execution.UNKNOWN,
+    )
+
+    private fun noteHealth(server: BackendServer, failure: AttemptOutcome?) =
+        if (failure == null) health.succeeded(server.id) else health.failed(server.id)
+
+    private fun cancelAt(server: BackendServer, call: OnlineCall) {
+        cancels.launch { client.cancel(server, call.request.requestId) }
+    }
+
+    private fun logRetry(call: OnlineCall, server: BackendServer, kind: String, outcome: AttemptOutcome) =
+        decisionLog.record(
+            "retry",
+            "request_id" to call.request.requestId,
+            "kind" to kind,
+            "server" to server.id,
+            "reason" to outcome,
+        )
+
+    /** What the attempts of one request have shown. */
+    private class Attempts {
+        var count = 0
+            private set
+        var mayHaveRun = false
+            private set
+        var failedServers: Set<BackendServerId> = emptySet()
+            private set
+
+        fun failed(server: BackendServerId, outcome: AttemptOutcome) {
+            count++
+            if (outcome !is AttemptOutcome.NotRun) mayHaveRun = true
+            failedServers = failedServers + server
+        }
+
+        /** A refusal of the queue is true only for the attempt that it ends. */
+        fun refusal(error: ServingError): ServingError =
+            if (mayHaveRun) ServingError.BackendFailed(error.code, error.message, Execution.UNKNOWN) else error
+    }
+
+    private companion object {
+        const val MAX_RESUMES = 2
+    }
+}
