--- /dev/null
+++ b/backend/src/main/kotlin/ragwortbarrow/backend/LoadPoller.kt
@@ -0,0 +1,82 @@
+package ragwortbarrow.backend
+
+import com.github.michaelbull.result.onSuccess
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import ragwortbarrow.core.backend.BackendClient
+import ragwortbarrow.core.config.ConfigurationView
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.manifest.BackendServer
+import ragwortbarrow.core.routing.BackendLoads
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.TimerSubscription
+import ragwortbarrow.core.time.monotonicMillis
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Polls the load of the engines in the own failure domain in turn, each at most every [periodMillis] and all together at
+ * most [maxPollsPerSecond]. The bound keeps control traffic within the budget of a node; a poll costs about 350 bytes.
+ */
+class LoadPoller(
+    private val client: BackendClient,
+    private val configuration: ConfigurationView,
+    private val loads: BackendLoads,
+    private val timer: TimerService,
+    private val failureDomain: FailureDomainId,
+    private val periodMillis: Long = 250L,
+    private val maxPollsPerSecond: Int = 20,
+    dispatcher: CoroutineDispatcher = Dispatchers.Default,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val inFlight = ConcurrentHashMap.newKeySet<BackendServerId>()
+    private val lastPollMillis = HashMap<BackendServerId, Long>()
+    private var subscription: TimerSubscription? = null
+
+    fun start() {
+        subscription = timer.every(1_000L / maxPollsPerSecond) { pollNext() }
+    }
+
+    fun stop() {
+        subscription?.cancel()
+        scope.cancel()
+    }
+
+    /** Polls the engine that was polled longest ago. The timer calls this one call at a time. */
+    private fun pollNext() {
+        val servers = engines()
+        val nowMillis = timer.monotonicMillis()
+        val server =
+            servers.filter { it.id !in inFlight }.minByOrNull { lastPollMillis[it.id] ?: Long.MIN_VALUE } ?: return
+        val last = lastPollMillis[server.id]
+        if (last != null && nowMillis - last < periodMillis) return
+        lastPollMillis[server.id] = nowMillis
+        if (lastPollMillis.size > servers.size) lastPollMillis.keys.retainAll(servers.map { it.id }.toSet())
+        val roundMillis = maxOf(periodMillis, servers.size * 1_000L / maxPollsPerSecond)
+        poll(server, validMillis = VALID_ROUNDS * roundMillis)
+    }
+
+    private fun poll(server: BackendServer, validMillis: Long) {
+        inFlight += server.id
+        loads.sample(server.id)
+        scope.launch {
+            try {
+                client.load(server).onSuccess { loads.record(server.id, it, validMillis) }
+            } finally {
+                inFlight -= server.id
+            }
+        }
+    }
+
+    private fun engines(): List<BackendServer> = configuration.current?.manifest?.backendServers.orEmpty()
+        .filter { it.failureDomain == failureDomain && it.models.isNotEmpty() }
+
+    private companion object {
+        /** A report is used until this many polls of its server have failed. */
+        const val VALID_ROUNDS = 4
+    }
+}
--- a/core/src/main/kotlin/ragwortbarrow/core/routing/BackendLoads.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/routing/BackendLoads.kt
@@ -13,7 +13,7 @@
  * The estimated load of each backend server: own requests in flight, plus what the last load report says of everybody
  * else. The report lags, so the own share is taken from the sample nearest to the instant that the report describes.
  */
-class BackendLoads(private val timer: TimerService, private val reportMaxAgeMillis: Long = 5_000L) {
+class BackendLoads(private val timer: TimerService) {
     private val entries = ConcurrentHashMap<BackendServerId, ServerLoad>()
     private val listeners = CopyOnWriteArrayList<OnlineLoadListener>()
 
@@ -64,15 +64,15 @@
         load.samples = (load.samples + sample).takeLast(SAMPLE_COUNT)
     }
 
-    /** Takes in a load report that arrived now. */
-    fun record(server: BackendServerId, report: LoadReport) {
+    /** Takes in a load report that arrived now and is used for [validMillis] if no other follows. */
+    fun record(server: BackendServerId, report: LoadReport, validMillis: Long = 5_000L) {
         val load = entry(server)
         val nowNanos = timer.nanoTime()
         val atNanos = nowNanos - report.ageMillis * NANOS_PER_MILLI
         val ownThen = load.samples.minByOrNull { (it.atNanos - atNanos).absoluteValue }?.own ?: load.own.get()
         load.others = OthersShare(
             requests = (report.running + report.waiting - ownThen).coerceAtLeast(0),
-            validUntilNanos = nowNanos + reportMaxAgeMillis * NANOS_PER_MILLI,
+            validUntilNanos = nowNanos + validMillis * NANOS_PER_MILLI,
         )
     }
 
--- /dev/null
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/engine/EngineSettings.kt
@@ -0,0 +1,21 @@
+package ragwortbarrow.standins.engine
+
+/**
+ * Settings of an engine stand-in. The time to the first token and between tokens grows by [growthPerRunning] of itself
+ * with each request that runs beside. A prompt whose first [prefixChars] characters were seen lately gets its first
+ * token in half the time.
+ */
+data class EngineSettings(
+    val host: String = "127.0.0.1",
+    val port: Int = 0,
+    val models: List<String> = listOf("wording"),
+    val slots: Int = 8,
+    val firstTokenMillis: Double = 20.0,
+    val betweenTokensMillis: Double = 5.0,
+    val growthPerRunning: Double = 0.02,
+    val defaultTokens: Int = 16,
+    val loadLagMillis: Long = 200,
+    val checksFencing: Boolean = false,
+    val prefixChars: Int = 64,
+    val prefixCacheEntries: Int = 256,
+)
--- /dev/null
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/engine/EngineText.kt
@@ -0,0 +1,17 @@
+package ragwortbarrow.standins.engine
+
+import org.apache.commons.codec.digest.MurmurHash3
+import kotlin.random.Random
+
+/** The text that the stand-in generates: the same prompt always gives the same tokens. */
+internal object EngineText {
+    private val words = listOf(
+        "heri", "ya", "siku", "kuzaliwa", "happy", "birthday", "warm", "wishes", "loop", "pile", "jute", "backing",
+        "remnant", "hall", "ivory", "stair", "runner", "badge", "karibu", "furaha", "gold", "trim", "hongera", "rafiki",
+    )
+
+    fun tokens(prompt: String, count: Int): List<String> {
+        val random = Random(MurmurHash3.hash128x64(prompt.toByteArray())[0])
+        return List(count) { index -> if (index == 0) words.random(random) else " " + words.random(random) }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/engine/LaggingLoad.kt
@@ -0,0 +1,32 @@
+package ragwortbarrow.standins.engine
+
+import ragwortbarrow.core.backend.LoadReport
+import ragwortbarrow.core.time.NANOS_PER_MILLI
+
+/** The load as it was [lagMillis] ago. */
+internal class LaggingLoad(
+    private val slots: Int,
+    private val lagMillis: Long,
+    private val nanoTime: () -> Long = System::nanoTime,
+) {
+    private val history = ArrayDeque(listOf(Entry(nanoTime(), 0, 0)))
+
+    @Synchronized
+    fun changed(running: Int, waiting: Int) {
+        history.addLast(Entry(nanoTime(), running, waiting))
+        dropOld()
+    }
+
+    @Synchronized
+    fun report(): LoadReport {
+        dropOld()
+        return LoadReport(history.first().running, history.first().waiting, slots, lagMillis)
+    }
+
+    private fun dropOld() {
+        val untilNanos = nanoTime() - lagMillis * NANOS_PER_MILLI
+        while (history.size > 1 && history[1].atNanos <= untilNanos) history.removeFirst()
+    }
+
+    private data class Entry(val atNanos: Long, val running: Int, val waiting: Int)
+}
