--- a/standins/src/main/kotlin/ragwortbarrow/standins/engine/EngineRoutes.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/engine/EngineRoutes.kt
@@ -23,6 +23,7 @@
 import ragwortbarrow.standins.faults.FaultSwitches
 import ragwortbarrow.standins.faults.RunRecord
 import ragwortbarrow.standins.faults.ServerFaults
+import ragwortbarrow.standins.faults.cutConnection
 import ragwortbarrow.standins.faults.refuseNotRun
 import ragwortbarrow.standins.faults.respondJson
 import ragwortbarrow.standins.faults.respondTruncated
@@ -71,7 +72,7 @@
             fault.crashWord.isIn(request.prompt) -> {
                 record.ran(requestId)
                 crash()
-                throw ConnectionCut()
+                call.cutConnection()
             }
 
             fault.failWord.isIn(request.prompt) -> {
@@ -100,7 +101,7 @@
         val body = run.answers.whole(run.tokens)
         when {
             !complete -> call.respondError("the request was cancelled", HttpStatusCode.Gone)
-            fault.loseReply -> throw ConnectionCut()
+            fault.loseReply -> call.cutConnection()
             fault.truncateBody -> call.respondTruncated(body.toByteArray())
             else -> call.respondJson(body)
         }
--- a/standins/src/main/kotlin/ragwortbarrow/standins/service/PlainServiceServer.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/service/PlainServiceServer.kt
@@ -19,10 +19,10 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
-import ragwortbarrow.standins.faults.ConnectionCut
 import ragwortbarrow.standins.faults.FaultSwitches
 import ragwortbarrow.standins.faults.RunRecord
 import ragwortbarrow.standins.faults.ServerFaults
+import ragwortbarrow.standins.faults.cutConnection
 import ragwortbarrow.standins.faults.devRoutes
 import ragwortbarrow.standins.faults.refuseNotRun
 import ragwortbarrow.standins.faults.respondJson
@@ -87,14 +87,14 @@
             return call.refuseNotRun()
         }
         record.ran(requestId)
-        if (fault.crashWord.isIn(call, body)) crash()
+        if (fault.crashWord.isIn(call, body)) crash(call)
         if (fault.delayMillis > 0) delay(fault.delayMillis)
         val own = Reply(requestId, answer(call))
         val before = previous.getAndSet(own)
         val shown = if (fault.crossAnswers) before else own
         if (!fault.dropRequestId) call.response.header(REQUEST_ID, shown.requestId)
         when {
-            fault.loseReply -> throw ConnectionCut()
+            fault.loseReply -> call.cutConnection()
             fault.failWord.isIn(call, body) -> call.respondJson("{}", HttpStatusCode.InternalServerError)
             fault.truncateBody -> call.respondTruncated(shown.json.toByteArray())
             else -> call.respondJson(shown.json)
@@ -110,11 +110,11 @@
         }
     }.toString()
 
-    private fun crash(): Nothing {
+    private fun crash(call: ApplicationCall): Nothing {
         onCrash()
         // The server waits for its own threads to end, so they must not stop it.
         thread(isDaemon = true, name = "service-crash") { stop() }
-        throw ConnectionCut()
+        call.cutConnection()
     }
 
     private fun String?.isIn(call: ApplicationCall, body: String): Boolean =
