--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/BatchRecords.kt
@@ -0,0 +1,127 @@
+package ragwortbarrow.core.batch
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.decodeFromJsonElement
+import kotlinx.serialization.json.encodeToJsonElement
+import kotlinx.serialization.json.jsonObject
+import ragwortbarrow.core.ids.CustomerId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.store.StoredObject
+
+/*
+ * The platform objects of batch work. Every record that is updated carries the writer token of its last update, so that
+ * an update whose reply was lost is recognized when the object is read back.
+ */
+
+internal val recordJson = Json { ignoreUnknownKeys = true }
+
+/** Encodes a record as the spec of a platform object. */
+internal inline fun <reified T> T.toSpec(): JsonObject = recordJson.encodeToJsonElement(this).jsonObject
+
+/** Decodes the spec of a platform object. */
+internal inline fun <reified T> StoredObject.record(): T = recordJson.decodeFromJsonElement(spec)
+
+/** An uploaded file, written after all of its parts. */
+@Serializable
+internal data class FileRecord(
+    val customer: CustomerId,
+    val fileName: String,
+    val sizeBytes: Long,
+    val itemCount: Int,
+    val createdAtMillis: Long,
+    val partItemCounts: List<Int>,
+    val urls: List<String>,
+    val models: List<String>,
+)
+
+/** The lines of one part of a file; a chunk of a job has the lines of one part as its items. */
+@Serializable
+internal data class FilePartRecord(val lines: List<String>)
+
+@Serializable
+internal data class JobRecord(
+    val customer: CustomerId,
+    val inputFileId: String,
+    val endpoint: String,
+    val completionWindowSeconds: Long,
+    val idempotencyKey: String? = null,
+    val metadata: Map<String, String> = emptyMap(),
+    val model: String? = null,
+    val chunkItemCounts: List<Int>,
+    val createdAtMillis: Long,
+    val deadlineMillis: Long,
+    val state: JobState = JobState.IN_PROGRESS,
+    val completedItems: Int = 0,
+    val failedItems: Int = 0,
+    val writer: String,
+) {
+    val itemCount: Int get() = chunkItemCounts.sum()
+    val chunkCount: Int get() = chunkItemCounts.size
+}
+
+@Serializable
+internal enum class ChunkState {
+    /** Items are left; a worker may hold the chunk. */
+    OPEN,
+
+    /** Every item has a result. */
+    DONE,
+
+    /** The job was cancelled; no further result is recorded. */
+    CLOSED,
+}
+
+/** One chunk: who runs it, and what is known of the items that were touched so far. */
+@Serializable
+internal data class ChunkRecord(
+    val jobId: String,
+    val index: Int,
+    val itemCount: Int,
+    val holder: VmId? = null,
+    val holderIncarnation: Long = 0,
+    val fencingNumber: Long = 0,
+    val state: ChunkState = ChunkState.OPEN,
+    val items: List<ItemRecord> = emptyList(),
+    /** Holders that were lost one after the other without recording anything. */
+    val lostHolders: Int = 0,
+    val writer: String,
+) {
+    val completedItems: Int get() = items.count { it.state == ItemState.COMPLETED }
+    val failedItems: Int get() = items.count { it.state == ItemState.FAILED }
+    val finishedItems: Int get() = items.count { it.state != ItemState.UNFINISHED }
+}
+
+@Serializable
+internal enum class ItemState { UNFINISHED, COMPLETED, FAILED }
+
+/** One touched item; its result is in place or, when the chunk grows too large, in the object [overflow]. */
+@Serializable
+internal data class ItemRecord(
+    val index: Int,
+    val state: ItemState = ItemState.UNFINISHED,
+    val attempts: Int = 0,
+    /** The item was or will be sent and may not be sent again; only on routes that may not be repeated. */
+    val started: Boolean = false,
+    val result: ItemResult? = null,
+    val overflow: String? = null,
+)
+
+/** The result of an item, in the terms of a line of the output file. */
+@Serializable
+internal data class ItemResult(
+    val customId: String,
+    val requestId: String,
+    val statusCode: Int? = null,
+    val body: JsonElement? = null,
+    val errorCode: String? = null,
+    val errorMessage: String? = null,
+) {
+    val state: ItemState get() = if (errorCode == null) ItemState.COMPLETED else ItemState.FAILED
+}
+
+/** Results that did not fit into their chunk, by item index. */
+@Serializable
+internal data class OverflowRecord(val results: Map<Int, ItemResult>)
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/BatchTarget.kt
@@ -0,0 +1,87 @@
+package ragwortbarrow.core.batch
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import ragwortbarrow.core.config.ConfigurationSnapshot
+import ragwortbarrow.core.error.ResultCode
+import ragwortbarrow.core.error.ServingError
+import ragwortbarrow.core.ids.CustomerId
+import ragwortbarrow.core.manifest.Access
+import ragwortbarrow.core.manifest.BackendServer
+
+/** What the items of a job are sent to. */
+internal sealed interface BatchTarget {
+    val repeatable: Boolean
+
+    fun servers(configuration: ConfigurationSnapshot): List<BackendServer>
+
+    data class OfModel(val model: String) : BatchTarget {
+        override val repeatable: Boolean get() = true
+
+        override fun servers(configuration: ConfigurationSnapshot): List<BackendServer> =
+            configuration.serversByModel[model].orEmpty()
+    }
+
+    data class OfService(val service: String, override val repeatable: Boolean) : BatchTarget {
+        override fun servers(configuration: ConfigurationSnapshot): List<BackendServer> =
+            configuration.serversByService[service].orEmpty()
+    }
+
+    companion object {
+        private val MODEL_ENDPOINTS = setOf("/v1/chat/completions", "/v1/completions")
+
+        /** The target of a job, or null if the configuration no longer has it. */
+        fun of(job: JobRecord, configuration: ConfigurationSnapshot): BatchTarget? = when {
+            job.model != null -> OfModel(job.model)
+            else -> configuration.serviceOf(job.endpoint)?.let { OfService(it.id, it.repeatable) }
+        }
+
+        /** The model of a new job, or null for a service; fails if [customer] may not use the endpoint. */
+        fun check(
+            customer: CustomerId,
+            endpoint: String,
+            file: FileRecord,
+            configuration: ConfigurationSnapshot,
+        ): Result<String?, ServingError> = when {
+            file.urls != listOf(endpoint) ->
+                Err(invalid("every line must have the url $endpoint, the file has ${file.urls}"))
+            endpoint in MODEL_ENDPOINTS -> checkModel(customer, file, configuration)
+            else -> checkService(customer, endpoint, configuration)
+        }
+
+        private fun checkModel(
+            customer: CustomerId,
+            file: FileRecord,
+            configuration: ConfigurationSnapshot,
+        ): Result<String?, ServingError> {
+            val model = file.models.singleOrNull() ?: return Err(invalid("every line must name the same model"))
+            val allowed = configuration.customers[customer]?.models.orEmpty()
+            return when {
+                configuration.manifest.models.none { it.id == model } ->
+                    Err(ServingError.InvalidRequest(ResultCode.UNKNOWN_MODEL, "model $model does not exist"))
+                allowed.isNotEmpty() && model !in allowed -> Err(forbidden("the customer may not use model $model"))
+                else -> Ok(model)
+            }
+        }
+
+        private fun checkService(
+            customer: CustomerId,
+            endpoint: String,
+            configuration: ConfigurationSnapshot,
+        ): Result<String?, ServingError> {
+            val service = configuration.serviceOf(endpoint)
+                ?: return Err(ServingError.InvalidRequest(ResultCode.UNKNOWN_ROUTE, "$endpoint does not exist"))
+            val restricted = service.access == Access.KEY && service.customers.isNotEmpty()
+            return if (restricted && customer !in service.customers) {
+                Err(forbidden("the customer may not use service ${service.id}"))
+            } else {
+                Ok(null)
+            }
+        }
+
+        private fun invalid(message: String) = ServingError.InvalidRequest(ResultCode.INVALID_FIELD, message)
+
+        private fun forbidden(message: String) = ServingError.NotAuthorized(ResultCode.KEY_OF_OTHER_CUSTOMER, message)
+    }
+}
