Run a job over several nodes in virtual time

Adds the simulated fleet for tests of batch work: nodes that can be killed or frozen between any two steps, engines and the platform in memory.

--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/FakeEngines.kt
@@ -0,0 +1,69 @@
+package ragwortbarrow.core.batch
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CompletableDeferred
+import ragwortbarrow.core.backend.AttemptOutcome
+import ragwortbarrow.core.backend.BackendAnswer
+import ragwortbarrow.core.backend.BackendRequest
+import ragwortbarrow.core.backend.LoadReport
+import ragwortbarrow.core.error.ServingError
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.RequestId
+import ragwortbarrow.core.manifest.BackendServer
+import ragwortbarrow.core.time.ManualTimerService
+
+/** Engines that answer after a given time; an item whose id starts with `poison` crashes its engine. */
+internal class FakeEngines(private val timer: ManualTimerService, private val durationMillis: (String) -> Long) {
+    /** How often each item was started. */
+    val starts = HashMap<String, Int>()
+
+    /** The company of each start of a poison item. */
+    val poisonNeighbours = ArrayList<Int>()
+    private val running = HashMap<BackendServerId, LinkedHashMap<RequestId, CompletableDeferred<AttemptOutcome>>>()
+    var mostRunning = 0
+        private set
+
+    fun runningOn(server: String): Int = running[BackendServerId(server)]?.size ?: 0
+
+    fun totalRunning(): Int = running.values.sumOf { it.size }
+
+    suspend fun run(server: BackendServer, request: BackendRequest): AttemptOutcome {
+        val id = promptOf(request)
+        starts.merge(id, 1, Int::plus)
+        val requests = running.getOrPut(server.id) { LinkedHashMap() }
+        val outcome = CompletableDeferred<AttemptOutcome>()
+        requests[request.requestId] = outcome
+        mostRunning = maxOf(mostRunning, requests.size)
+        if (id.startsWith("poison")) {
+            poisonNeighbours += requests.size - 1
+            timer.once(50) { crash(server) }
+        } else {
+            timer.once(durationMillis(id)) { outcome.complete(answer(id)) }
+        }
+        return try {
+            outcome.await()
+        } finally {
+            requests.remove(request.requestId, outcome)
+        }
+    }
+
+    fun cancel(server: BackendServer, requestId: RequestId) {
+        running[server.id]?.get(requestId)?.complete(AttemptOutcome.Unknown("cancelled"))
+    }
+
+    fun load(server: BackendServer): Result<LoadReport, ServingError> {
+        val count = runningOn(server.id.value)
+        return Ok(LoadReport(count, 0, server.slots))
+    }
+
+    private fun crash(server: BackendServer) {
+        running[server.id]?.values?.toList()?.forEach { it.complete(AttemptOutcome.Unknown("connection reset")) }
+    }
+
+    private fun answer(id: String): AttemptOutcome =
+        AttemptOutcome.Answered(BackendAnswer(200, emptyList(), """{"text":"$id"}""".encodeToByteArray()))
+
+    private fun promptOf(request: BackendRequest): String =
+        Regex("\"prompt\":\"([^\"]+)\"").find(request.body.decodeToString())!!.groupValues[1]
+}
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/SimulatedFleet.kt
@@ -0,0 +1,173 @@
+package ragwortbarrow.core.batch
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
+import ragwortbarrow.core.config.ConfigurationSnapshot
+import ragwortbarrow.core.config.ConfigurationView
+import ragwortbarrow.core.error.ServingError
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.CustomerId
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.manifest.BackendServer
+import ragwortbarrow.core.manifest.Customer
+import ragwortbarrow.core.manifest.FailureDomain
+import ragwortbarrow.core.manifest.Fleet
+import ragwortbarrow.core.manifest.Manifest
+import ragwortbarrow.core.manifest.Model
+import ragwortbarrow.core.manifest.Service
+import ragwortbarrow.core.membership.MemberView
+import ragwortbarrow.core.peer.LimitShardId
+import ragwortbarrow.core.peer.MemberInfo
+import ragwortbarrow.core.peer.ShardOwner
+import ragwortbarrow.core.store.MemoryObjectStore
+import ragwortbarrow.core.store.StoreFault
+import ragwortbarrow.core.store.StoreFaults
+import ragwortbarrow.core.time.ManualTimerService
+
+internal val ARUSHA = FailureDomainId("arusha")
+internal val PRINTER = CustomerId("printer")
+internal const val CHAT = "/v1/chat/completions"
+internal const val LABELS = "/labels"
+
+/** Several nodes with their engines, platform and clock in one thread of virtual time. */
+internal class SimulatedFleet(
+    nodeCount: Int = 3,
+    serverCount: Int = 4,
+    val settings: BatchSettings = BatchSettings(),
+    var faults: StoreFaults = StoreFaults.NONE,
+    slots: Int = 8,
+    engineMillis: (String) -> Long = { 1_000 },
+) : ConfigurationView {
+    val timer = ManualTimerService()
+    val store = MemoryObjectStore({ operation, kind, name -> faults.before(operation, kind, name) })
+    val engines = FakeEngines(timer, engineMillis)
+    val scope = CoroutineScope(Dispatchers.Unconfined + SupervisorJob())
+    private val manifest = Manifest(
+        name = "test",
+        fleet = Fleet(listOf(FailureDomain(ARUSHA))),
+        models = listOf(Model("wording")),
+        services = listOf(Service("labels", LABELS)),
+        customers = listOf(Customer(PRINTER, 10.0, 10)),
+        backendServers = (1..serverCount).map {
+            BackendServer(BackendServerId("s$it"), "", ARUSHA, models = listOf("wording"), slots = slots)
+        } + (1..2).map { BackendServer(BackendServerId("p$it"), "", ARUSHA, service = "labels", slots = slots) },
+    )
+    override val current = ConfigurationSnapshot(1, manifest)
+    val nodes = LinkedHashMap<VmId, SimulatedNode>()
+
+    /** Members that each node sees alive; a test replaces it to let views differ. */
+    var liveOf: (VmId) -> List<MemberInfo> = { nodes.values.filter { !it.killed && !it.frozen }.map { it.info } }
+
+    init {
+        repeat(nodeCount) { add(VmId("vm-${it + 1}"), 1) }
+    }
+
+    fun add(vm: VmId, incarnation: Long): SimulatedNode =
+        SimulatedNode(this, MemberInfo(vm, incarnation, 1, ARUSHA, vm.value, vm.value)).also {
+            nodes[vm] = it
+            it.start()
+        }
+
+    fun node(number: Int): SimulatedNode = nodes.getValue(VmId("vm-$number"))
+
+    fun restart(vm: VmId) {
+        val earlier = nodes.getValue(vm)
+        earlier.kill()
+        add(vm, earlier.info.incarnation + 1)
+    }
+
+    override fun subscribe(listener: (ConfigurationSnapshot) -> Unit) = listener(current)
+
+    fun members(self: MemberInfo) = object : MemberView {
+        override val self: MemberInfo = self
+
+        override fun live(failureDomain: FailureDomainId?): List<MemberInfo> =
+            (liveOf(self.vm) + self).distinctBy { it.vm }.sortedBy { it.vm.value }
+
+        override fun member(vm: VmId): MemberInfo? = nodes[vm]?.info
+
+        override fun ownerOf(shard: LimitShardId): ShardOwner? = null
+
+        override fun announce(owner: ShardOwner) = Unit
+
+        override fun platformAgeMillis(): Long = 0
+
+        override fun domainAgeMillis(failureDomain: FailureDomainId): Long = 0
+    }
+
+    /** Runs [body] and lets time pass until it has returned. */
+    fun <T> await(limitMillis: Long = 3_600_000, body: suspend () -> T): T {
+        var outcome: kotlin.Result<T>? = null
+        scope.launch { outcome = runCatching { body() } }
+        advanceUntil(limitMillis) { outcome != null }
+        return checkNotNull(outcome).getOrThrow()
+    }
+
+    fun advanceUntil(limitMillis: Long = 3_600_000, condition: () -> Boolean) {
+        val end = timer.nanoTime() + limitMillis * 1_000_000
+        while (!condition()) {
+            check(timer.nanoTime() < end) { "not reached within $limitMillis ms" }
+            timer.advance(10)
+        }
+    }
+
+    fun <T> ok(body: suspend () -> Result<T, ServingError>): T = await { body() }.getOrElse { error("$it") }
+
+    /** Submits a job with one item for each id, through node [number]. */
+    fun submit(ids: List<String>, url: String = CHAT, customer: CustomerId = PRINTER, number: Int = 1): BatchJob {
+        val service = node(number).runtime.service
+        val file = ok { service.createFile(customer, "in.jsonl", input(ids, url)) }
+        return ok { service.createJob(customer, JobRequest(file.id, url)) }
+    }
+
+    fun job(id: String, customer: CustomerId = PRINTER): BatchJob =
+        ok { StoredBatchService(store, timer, this, WriterTokens(VmId("reader"), 1)).job(customer, id) }
+
+    fun awaitState(id: String, state: JobState, limitMillis: Long = 3_600_000) {
+        var seen: JobState? = null
+        advanceUntil(limitMillis) {
+            repeat(50) { timer.advance(10) }
+            seen = withoutFaults { job(id).state }
+            seen == state
+        }
+    }
+
+    /** The output file as custom ids with their lines. */
+    fun output(id: String, customer: CustomerId = PRINTER): List<Pair<String, String>> = withoutFaults {
+        val reader = StoredBatchService(store, timer, this, WriterTokens(VmId("reader"), 1))
+        val content = ok { reader.fileContent(customer, BatchNames.outputFileId(id)) }.decodeToString()
+        content.lines().filter { it.isNotEmpty() }.map { line ->
+            Regex("\"custom_id\":\"([^\"]+)\"").find(line)!!.groupValues[1] to line
+        }
+    }
+
+    fun <T> withoutFaults(body: () -> T): T {
+        val before = faults
+        faults = StoreFaults.NONE
+        return try {
+            body()
+        } finally {
+            faults = before
+        }
+    }
+
+    companion object {
+        fun input(ids: List<String>, url: String = CHAT): ByteArray = ids.joinToString("\n") {
+            val model = if (url == CHAT) "\"model\":\"wording\"," else ""
+            """{"custom_id":"$it","method":"POST","url":"$url","body":{$model"prompt":"$it"}}"""
+        }.encodeToByteArray()
+
+        val OUTAGE = StoreFaults { _, _, _ -> StoreFault.Unavailable }
+    }
+}
+
+internal val NO_LOG = DecisionLog.NONE
+
+internal val OK_UNIT: Result<Unit, Nothing> = Ok(Unit)
