Count gossip for key freshness only when it proves that no withdrawal is missing

Membership counts a gossip message for the age of the key state only if this node then has all of the peer's keys, so KeySync.heard answers exactly that and replaces the fire-and-forget comparison of digests. The watch of the configuration head no longer counts as hearing from the platform, because it says nothing about tombstones. A node without a whole state shows no digest; taking over from any live peer at the start was ruled out, since that peer may be starting too.

--- a/cli/src/main/kotlin/ragwortbarrow/cli/KeyWithdrawal.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/KeyWithdrawal.kt
@@ -29,9 +29,9 @@
     val confirmed: Set<String>,
     val unconfirmed: Map<String, String>,
 ) {
-    /** Whether every node is known to refuse the key. The platform alone may still be missing: nodes tell it later. */
+    /** Whether every node is known to refuse the key. Nodes write a tombstone that the platform lacks to it later. */
     val isComplete: Boolean
-        get() = unconfirmed.isEmpty() && nodesError == null
+        get() = unconfirmed.isEmpty() && nodesError == null && (platformError == null || confirmed.isNotEmpty())
 }
 
 /** Withdraws a key on the platform and, at the same time, on every node that can be named. */
--- a/cli/src/main/kotlin/ragwortbarrow/cli/dev/DevPlatform.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/dev/DevPlatform.kt
@@ -7,27 +7,29 @@
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.double
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
 import ragwortbarrow.platform.SystemTimerService
 import ragwortbarrow.standins.platform.PlatformFaults
 import ragwortbarrow.standins.platform.PlatformServer
 import ragwortbarrow.standins.platform.VmRecord
-import java.util.concurrent.CountDownLatch
 
 /** `ragwortbarrow dev platform`: runs the stand-in of the platform until the process ends. */
 class DevPlatform : CliktCommand(name = "platform") {
-    private val listen by option("--listen", help = "Address to listen on; port 0 takes a free one")
-        .convert { text -> ListenAddress.parse(text) ?: fail("$text is not HOST:PORT") }
-        .default(ListenAddress("127.0.0.1", 7400))
+    private val listen by option("--listen", help = "Address to listen on").listenAddress()
+        .default(ListenAddress("127.0.0.1", 0))
     private val vms by option("--vm", help = "A VM of the VM list, as ID,FAILURE_DOMAIN,PEER_ADDRESS; may be repeated")
         .convert { text -> text.split(',').takeIf { it.size == 3 } ?: fail("$text has not three parts") }
         .multiple()
     private val vmListLagMillis by option("--vm-list-lag-millis", help = "Lag of the VM list").long().default(0)
     private val delayMillis by option("--delay-millis", help = "Delay of each call").long().default(0)
     private val outage by option("--outage", help = "Answer every call with 503").flag()
-    private val loseWriteReplies by option("--lose-write-replies", help = "Drop replies of writes that took effect")
-        .flag()
+    private val loseWriteReplies by option(
+        "--lose-write-replies",
+        help = "Share of writes, from 0 to 1, that take effect and are not answered",
+    ).double().restrictTo(0.0..1.0).default(0.0)
     private val staleReads by option("--stale-reads", help = "Answer reads from the state at the start").flag()
     private val callsPerSecond by option("--calls-per-second", help = "Answer 429 beyond this rate; 0 is no limit")
         .int().default(0)
@@ -45,17 +47,8 @@
             faults = faults,
         ).start()
         vms.forEach { (id, domain, address) -> server.putVm(id, VmRecord(domain, address)) }
-        echo("event=platform_listening url=${server.url}")
+        echo("event=listening kind=platform url=${server.url}")
         Runtime.getRuntime().addShutdownHook(Thread { server.stop() })
-        CountDownLatch(1).await()
-    }
-
-    private data class ListenAddress(val host: String, val port: Int) {
-        companion object {
-            fun parse(text: String): ListenAddress? {
-                val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 0..65_535 } ?: return null
-                return ListenAddress(text.substringBeforeLast(':').ifEmpty { return null }, port)
-            }
-        }
+        Thread.currentThread().join()
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
@@ -29,8 +29,6 @@
  * Brings each new configuration to this node. The watchers of a failure domain follow the platform; every other node
  * pulls the head and the parts it lacks from a peer as soon as gossip shows a higher version. A node that restarts
  * during an outage of the platform therefore gets the configuration from its peers alone.
- *
- * [platformHeard] is called whenever the platform has confirmed that this node misses nothing.
  */
 class ConfigurationSync(
     private val store: ObjectStore,
@@ -40,7 +38,6 @@
     private val timer: TimerService,
     private val scope: CoroutineScope,
     private val decisionLog: DecisionLog = DecisionLog.NONE,
-    private val platformHeard: () -> Unit = {},
     private val election: WatcherElection = WatcherElection(members),
     private val peerCheckMillis: Long = 500,
     private val partsPerCall: Int = 16,
@@ -57,7 +54,6 @@
         scope = scope,
         elected = election::isWatcher,
         changed = ::headChanged,
-        confirmed = { platformHeard() },
         decisionLog = decisionLog,
         random = random,
     )
--- a/core/src/main/kotlin/ragwortbarrow/core/keys/KeySync.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/keys/KeySync.kt
@@ -14,6 +14,7 @@
 import ragwortbarrow.core.membership.WatcherElection
 import ragwortbarrow.core.peer.KeyUpdate
 import ragwortbarrow.core.peer.PeerConnector
+import ragwortbarrow.core.peer.PeerService
 import ragwortbarrow.core.store.KindWatcher
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.ObjectStore
@@ -43,7 +44,7 @@
     private val timer: TimerService,
     private val scope: CoroutineScope,
     private val decisionLog: DecisionLog = DecisionLog.NONE,
-    private val platformHeard: () -> Unit = {},
+    private val platformHeard: (askedAtNanos: Long) -> Unit = {},
     private val election: WatcherElection = WatcherElection(members),
     private val pushFanOut: Int = 4,
     private val settleMillis: Long = 1_000,
@@ -84,8 +85,8 @@
             tombstonesListed = true
             tombstonesSeen(objects, complete = grantsListed)
         },
-        confirmed = {
-            platformHeard()
+        confirmed = { askedAtNanos ->
+            platformHeard(askedAtNanos)
             createMissingTombstones()
         },
         decisionLog = decisionLog,
@@ -95,7 +96,6 @@
     fun start() {
         grantWatcher.start()
         tombstoneWatcher.start()
-        launch { loadFromPeers() }
     }
 
     fun stop() {
@@ -113,55 +113,52 @@
         return if (update.wantAll) ring.all() else KeyUpdate()
     }
 
-    /** Tells that gossip has shown the key digest of the peer at [peerAddress]. */
-    fun digestSeen(peerAddress: String, digest: String) {
-        if (digest.isEmpty() || digest == ring.digest || !reconciling.compareAndSet(false, true)) return
-        launch {
-            try {
-                val before = ring.digest
-                timer.pause(settleMillis)
-                // A push that was under way makes the digests equal, or at least changes this node's.
-                if (!ring.isLoaded || (ring.digest == before && ring.digest != digest)) reconcile(peerAddress)
-            } finally {
-                reconciling.set(false)
-            }
+    /** The digest for gossip; empty until this node has a whole state that others may take over. */
+    fun keysDigest(): String = if (ring.isLoaded) ring.digest else ""
+
+    /**
+     * Takes up the key digest that gossip has brought from [peer]. Returns whether this node's keys now contain all of
+     * the peer's, in other words whether the message proves that no withdrawal known to the peer is missing here.
+     */
+    suspend fun heard(peer: PeerService, digest: String): Boolean {
+        if (digest.isEmpty()) return false
+        if (digest == ring.digest) {
+            ring.merge(KeyUpdate(), complete = true)
+            return true
         }
-    }
-
-    private suspend fun loadFromPeers() {
-        while (!ring.isLoaded) {
-            val peer = members.live().filter { it.vm != members.self.vm }.randomOrNull(random)
-            if (peer != null) reconcile(peer.peerAddress)
-            timer.pause(settleMillis)
+        if (!reconciling.compareAndSet(false, true)) return false
+        return try {
+            val before = ring.digest
+            if (ring.isLoaded) timer.pause(settleMillis)
+            when (ring.digest) {
+                digest -> true
+                // A push that was under way has arrived; the next message shows whether a difference is left.
+                else -> if (ring.digest == before || !ring.isLoaded) reconcile(peer) else false
+            }
+        } finally {
+            reconciling.set(false)
         }
     }
 
-    /** Exchanges the whole state with one peer; a peer that has no whole state itself cannot complete this node's. */
-    private suspend fun reconcile(peerAddress: String) {
-        val reply = try {
-            connector.connect(peerAddress).updateKeys(KeyUpdate(wantAll = true)).getOrElse { return }
-        } catch (failure: CancellationException) {
-            throw failure
-        } catch (failure: Exception) {
-            decisionLog.record("keys_exchange_failed", "peer" to peerAddress, "reason" to failure.message)
-            return
-        }
-        learn(reply.copy(wantAll = false), complete = reply.grants.isNotEmpty() || reply.tombstones.isNotEmpty())
+    private suspend fun reconcile(peer: PeerService): Boolean {
+        val reply = peer.updateKeys(KeyUpdate(wantAll = true)).getOrElse { return false }
+        learn(reply, complete = true)
         val lacking = ring.missingIn(reply)
-        if (lacking != KeyUpdate()) connector.connect(peerAddress).updateKeys(lacking)
+        if (!lacking.isEmpty()) peer.updateKeys(lacking)
+        return true
     }
 
     private fun learn(update: KeyUpdate, complete: Boolean = false) {
         val wasLoaded = ring.isLoaded
         val news = ring.merge(update, complete)
-        if (news == KeyUpdate()) return
+        if (news.isEmpty()) return
         news.tombstones.forEach { decisionLog.record("key_withdrawn", "key" to it) }
         // The first state of a starting node is no news to the others, except for withdrawals.
         push(if (wasLoaded) news else news.copy(grants = emptyList()))
     }
 
     private fun push(news: KeyUpdate) {
-        if (news == KeyUpdate()) return
+        if (news.isEmpty()) return
         members.live().filter { it.vm != members.self.vm }.shuffled(random).take(pushFanOut).forEach { peer ->
             launch {
                 runCatching { connector.connect(peer.peerAddress).updateKeys(news) }
@@ -201,3 +198,5 @@
         job.invokeOnCompletion { synchronized(jobs) { jobs -= job } }
     }
 }
+
+private fun KeyUpdate.isEmpty() = grants.isEmpty() && tombstones.isEmpty()
--- a/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
@@ -18,8 +18,8 @@
  * lists the kind, then watches it from the version of the list, and starts again after any failure.
  *
  * An open watch does not prove that changes arrive, so every [confirmMillis] a list of one name is read: when the watch
- * has reached the version of that list, nothing is missing and [confirmed] is called; when it has not reached it by the
- * next time, the watch is started again.
+ * has reached the version of that list, nothing is missing and [confirmed] is called with the monotonic time before the
+ * read; when it has not reached it by the next time, the watch is started again.
  */
 class KindWatcher(
     private val kind: ObjectKind,
@@ -29,7 +29,7 @@
     private val elected: () -> Boolean,
     private val changed: suspend (StoredObject) -> Unit,
     private val listed: suspend (List<StoredObject>) -> Unit = { objects -> objects.forEach { changed(it) } },
-    private val confirmed: suspend () -> Unit = {},
+    private val confirmed: suspend (askedAtNanos: Long) -> Unit = {},
     private val decisionLog: DecisionLog = DecisionLog.NONE,
     private val checkMillis: Long = 500,
     private val confirmMillis: Long = 2_000,
@@ -65,9 +65,10 @@
 
     /** Returns the reason why the pass ended. */
     private suspend fun pass(): String = coroutineScope {
+        val askedAtNanos = timer.nanoTime()
         val (objects, version) = store.listAll(kind).getOrElse { return@coroutineScope it.message }
         listed(objects)
-        confirmed()
+        confirmed(askedAtNanos)
         val progress = Progress(version)
         val watch = launch { watch(progress) }
         val reason = supervise(progress)
@@ -98,8 +99,9 @@
             if (sinceConfirmMillis < confirmMillis) continue
             sinceConfirmMillis = 0L
             if (progress.version < expected) return "the watch stays behind the platform"
+            val askedAtNanos = timer.nanoTime()
             expected = store.list(kind, limit = 1, metadataOnly = true).fold(
-                { page -> page.listVersion.also { if (progress.version >= it) confirmed() } },
+                { page -> page.listVersion.also { if (progress.version >= it) confirmed(askedAtNanos) } },
                 { 0L },
             )
         }
--- a/core/src/test/kotlin/ragwortbarrow/core/config/TestFleet.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/config/TestFleet.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runCurrent
 import ragwortbarrow.core.ids.BackendServerId
@@ -34,6 +35,7 @@
 import ragwortbarrow.core.store.StoreFaults
 import ragwortbarrow.core.store.StoreOperation
 import ragwortbarrow.core.time.ManualTimerService
+import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.monotonicMillis
 import java.lang.reflect.Proxy
 import kotlin.random.Random
@@ -52,7 +54,7 @@
 
 /** Nodes in one process, connected in memory, with virtual time and a common platform. */
 @OptIn(ExperimentalCoroutinesApi::class)
-class TestFleet(private val test: TestScope, private val keyDomains: Int = 1) {
+class TestFleet(private val test: TestScope) {
     val timer = ManualTimerService()
     val faults = SwitchedFaults()
     val store = MemoryObjectStore(faults)
@@ -93,7 +95,7 @@
 
     private fun gossipDigests() = nodes.forEach { node ->
         nodes.filter { it != node && connected(node, it) }
-            .forEach { node.keys.digestSeen(it.vm.value, it.ring.digest) }
+            .forEach { scope.launch { node.keys.heard(node.peer(it.vm.value), it.keys.keysDigest()) } }
     }
 
     private companion object {
@@ -114,7 +116,6 @@
         connector = connector,
         timer = fleet.timer,
         scope = fleet.scope,
-        platformHeard = ::heardFromPlatform,
         random = Random(1),
     )
     val keys = KeySync(
@@ -147,11 +148,11 @@
 
     override fun domainAgeMillis(failureDomain: FailureDomainId): Long? = live(failureDomain).firstOrNull()?.let { 0 }
 
-    private fun heardFromPlatform() {
-        platformHeardMillis = fleet.timer.monotonicMillis()
+    private fun heardFromPlatform(askedAtNanos: Long) {
+        platformHeardMillis = askedAtNanos / NANOS_PER_MILLI
     }
 
-    private fun peer(address: String): PeerService {
+    fun peer(address: String): PeerService {
         val target = fleet.nodes.firstOrNull { it.vm.value == address && fleet.connected(this, it) }
         return object : PeerService by unsupportedPeer {
             override suspend fun fetchHead() = answer { target?.configuration?.fetchHead() }
--- a/standins/src/main/kotlin/ragwortbarrow/standins/platform/ObjectRoutes.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/platform/ObjectRoutes.kt
@@ -137,8 +137,7 @@
     status: HttpStatusCode = HttpStatusCode.OK,
     text: (T) -> String,
 ) {
-    val faults = server.faults
-    if (faults.loseWriteReplies && faults.concerns(kind.path)) {
+    if (server.losesReply(kind)) {
         // Closing the connection is how a client sees a reply that got lost.
         (pipelineCall.engineCall as NettyApplicationCall).context.close()
         return
--- a/standins/src/main/kotlin/ragwortbarrow/standins/platform/PlatformFaults.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/platform/PlatformFaults.kt
@@ -9,8 +9,8 @@
     val delayMillis: Long = 0,
     /** Answers every call with 503 and ends the watches. */
     val outage: Boolean = false,
-    /** Closes the connection after a write took effect, instead of answering it. */
-    val loseWriteReplies: Boolean = false,
+    /** The share of writes, from 0 to 1, whose connection is closed after they took effect, without an answer. */
+    val loseWriteReplies: Double = 0.0,
     /** Answers reads from the state at the moment the switch was set. */
     val staleReads: Boolean = false,
     /** Answers 429 beyond this rate; 0 is no limit. */
--- a/standins/src/main/kotlin/ragwortbarrow/standins/platform/PlatformServer.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/platform/PlatformServer.kt
@@ -13,6 +13,7 @@
 import ragwortbarrow.core.time.NANOS_PER_SECOND
 import ragwortbarrow.core.time.TimerService
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
 
 /**
  * Stands in for the platform: serves a [MemoryObjectStore] by the conventions of the Kubernetes API, with fault
@@ -28,6 +29,7 @@
     private val vmListLagMillis: Long = 0,
     private val bookmarkMillis: Long = 1_000,
     faults: PlatformFaults = PlatformFaults(),
+    private val random: Random = Random(7),
 ) {
     val calls: CallCounts = CallCounts()
 
@@ -86,6 +88,10 @@
         return limit == 0 || window.calls <= limit
     }
 
+    /** Whether the reply of the present write is to be lost. */
+    internal fun losesReply(kind: ObjectKind): Boolean =
+        faults.concerns(kind.path) && synchronized(random) { random.nextDouble() } < faults.loseWriteReplies
+
     private fun afterLag(action: () -> Unit) {
         if (vmListLagMillis == 0L) action() else timer.once(vmListLagMillis, action)
     }
