--- a/scenarios/src/test/kotlin/ragwortbarrow/scenarios/Scenario.kt
+++ b/scenarios/src/test/kotlin/ragwortbarrow/scenarios/Scenario.kt
@@ -10,12 +10,7 @@
  * changes how long a scenario takes and not its verdict.
  */
 @Serializable
-data class Scenario(
-    val name: String,
-    val guards: String,
-    val fleet: FleetPlan,
-    val steps: List<Step>,
-)
+data class Scenario(val name: String, val guards: String, val fleet: FleetPlan, val steps: List<Step>)
 
 @Serializable
 data class FleetPlan(
