Lend fractions of tokens between accounts

Putting small customers on one account was ruled out, because a cut-off failure domain would then serve them nothing. Owners now lend in thousandths of a token; what does not complete a token moves into the borrower's account.

--- a/cli/src/main/kotlin/ragwortbarrow/cli/bench/LimitsBench.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/bench/LimitsBench.kt
@@ -65,7 +65,10 @@
             100 * againstWithout,
             100 * outcome.overloadingServed,
         )
-        val messages = "messages_per_admitted=%.2f".format(outcome.messagesPerAdmitted)
+        val messages = "messages_per_admitted=%.2f without_overload=%.2f".format(
+            outcome.messagesPerAdmitted,
+            without.messagesPerAdmitted,
+        )
         echo("policy=\"${outcome.policy}\" excess=${"%.2f".format(outcome.excess)} $refusals $messages $served")
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/Account.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/Account.kt
@@ -26,9 +26,7 @@
     private var refilledToNanos = startNanos
     private val grants = LinkedHashMap<Long, Grant>()
 
-    private class Grant(val tokens: Int, val endNanos: Long)
-
-    val outstandingTokens: Int get() = (outstanding / TOKEN).toInt()
+    private class Grant(val amount: Long, val endNanos: Long)
 
     fun levelTokens(nowNanos: Long): Int {
         advance(nowNanos)
@@ -42,27 +40,48 @@
         return taken
     }
 
-    /** Debits up to [tokens] and keeps them outstanding under [grantId] until settled or [endNanos]. */
-    open fun grant(grantId: Long, tokens: Int, nowNanos: Long, endNanos: Long): Int {
-        val taken = take(tokens, nowNanos)
-        keep(grantId, taken, endNanos)
-        return taken
+    /** What is in the account, in whole thousandths of a token. */
+    fun levelMillitokens(nowNanos: Long): Int {
+        advance(nowNanos)
+        return (level / MILLITOKEN).coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
     }
 
-    protected fun keep(grantId: Long, tokens: Int, endNanos: Long) {
-        outstanding += tokens * TOKEN
-        grants[grantId] = Grant(tokens, endNanos)
+    /**
+     * Debits up to [millitokens], in multiples of [step], and keeps them outstanding under [grantId] until settled or
+     * [endNanos]. A grant that is outstanding already grows and keeps its end.
+     */
+    open fun grant(grantId: Long, millitokens: Int, step: Int, nowNanos: Long, endNanos: Long): Int {
+        val taken = minOf(millitokens, levelMillitokens(nowNanos)) / step * step
+        level -= taken * MILLITOKEN
+        outstanding += taken * MILLITOKEN
+        val before = grants[grantId]
+        grants[grantId] = Grant(taken * MILLITOKEN + (before?.amount ?: 0), before?.endNanos ?: endNanos)
+        return taken
     }
 
-    /** Ends a grant of which [unspentTokens] go back to the level; an unknown or expired grant changes nothing. */
-    open fun settle(grantId: Long, unspentTokens: Int, nowNanos: Long) {
+    /** Ends a grant of which [unspentMillitokens] go back to the level; an unknown or expired one changes nothing. */
+    open fun settle(grantId: Long, unspentMillitokens: Int, nowNanos: Long) {
         advance(nowNanos)
         val grant = grants.remove(grantId) ?: return
-        outstanding -= grant.tokens * TOKEN
-        level += unspentTokens.coerceIn(0, grant.tokens) * TOKEN
+        outstanding -= grant.amount
+        level += (unspentMillitokens * MILLITOKEN).coerceIn(0, grant.amount)
         level = level.coerceAtMost((share.burstPicotokens - outstanding).coerceAtLeast(0))
     }
 
+    /**
+     * Takes over tokens that another account of the customer has debited for good, and returns how many. Within the
+     * bound of this account, moving tokens changes no sum. [isStillHeld] tells, after the credit, whether the other
+     * account still counts them as outstanding; if not, they are dropped.
+     */
+    fun credit(millitokens: Int, nowNanos: Long, isStillHeld: () -> Boolean): Int {
+        advance(nowNanos)
+        val taken = minOf(millitokens, (room() / MILLITOKEN).coerceAtMost(Int.MAX_VALUE.toLong()).toInt())
+        level += taken * MILLITOKEN
+        if (isStillHeld()) return taken
+        level -= taken * MILLITOKEN
+        return 0
+    }
+
     /** Takes [newShare] into force at once; what is above the new burst is dropped. */
     fun change(newShare: Share, nowNanos: Long) {
         advance(nowNanos)
@@ -90,7 +109,7 @@
             val (grantId, grant) = grants.entries.firstOrNull()?.takeIf { it.value.endNanos <= nowNanos } ?: break
             refillTo(grant.endNanos)
             grants.remove(grantId)
-            outstanding -= grant.tokens * TOKEN
+            outstanding -= grant.amount
             onExpired(grantId)
         }
         refillTo(nowNanos)
@@ -110,6 +129,7 @@
 
     private companion object {
         const val NANOS_PER_MICRO = NANOS_PER_MILLI / 1_000
+        const val MILLITOKEN = TOKEN / 1_000
         const val MAX_RETRY_MILLIS = 60_000L
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/AcquireLane.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/AcquireLane.kt
@@ -56,7 +56,7 @@
     }
 
     private fun giveBack(outcome: LaneOutcome) {
-        if (outcome is LaneOutcome.Token) outcome.use.settle(tokens = 1, unspent = 1)
+        if (outcome is LaneOutcome.Token) outcome.use.settle(amount = 1, unspent = 1)
     }
 
     private suspend fun run() {
@@ -91,7 +91,7 @@
             if (index >= grant.tokens) {
                 waiter.outcome.complete(LaneOutcome.Refused(grant.retryAfterMillis))
             } else if (!waiter.outcome.complete(LaneOutcome.Token(use))) {
-                use.settle(tokens = 1, unspent = 1)
+                use.settle(amount = 1, unspent = 1)
             }
         }
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/Borrower.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/Borrower.kt
@@ -13,13 +13,14 @@
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
 
-/** Some tokens of a lender's grant. */
-internal class BorrowedPart(val use: GrantUse, val tokens: Int)
+/** Some thousandths of tokens of a lender's grant. */
+internal class BorrowedPart(val use: GrantUse, val millitokens: Int)
 
 /**
  * Borrows for one account from the accounts of the same customer in other failure domains. One borrow is in flight at
- * a time; those that wait share the next one. After a borrow that found nothing, the account borrows nothing for a
- * short while, so that a customer far over its rate causes no flood of messages.
+ * a time; those that wait share the next one. Lenders are asked for thousandths of tokens, since fractions spread over
+ * several accounts add up to a token. After a borrow that found too little, the account borrows nothing for a short
+ * while, so that a customer far over its rate causes no flood of messages.
  */
 internal class Borrower(
     private val self: VmId,
@@ -31,7 +32,7 @@
     private val scope: CoroutineScope,
     private val settings: LimitSettings,
 ) {
-    private class Waiter(val tokens: Int) {
+    private class Waiter(val millitokens: Int) {
         val parts = CompletableDeferred<List<BorrowedPart>>()
     }
 
@@ -40,9 +41,9 @@
     private var pausedUntilNanos: Long? = null
     private val lastLevels = HashMap<LimitShardId, Int>()
 
-    /** Borrows up to [tokens]; the parts come from requests that were sent after this call. */
-    suspend fun borrow(tokens: Int): List<BorrowedPart> {
-        val waiter = Waiter(tokens)
+    /** Borrows up to [millitokens]; the parts come from requests that were sent after this call. */
+    suspend fun borrow(millitokens: Int): List<BorrowedPart> {
+        val waiter = Waiter(millitokens)
         val start = synchronized(this) {
             if (isPaused()) return emptyList()
             waiting += waiter
@@ -65,8 +66,9 @@
                 }
             }
             if (batch.isEmpty()) return
-            val parts = ask(batch.sumOf { it.tokens })
-            if (parts.isEmpty()) {
+            val wanted = batch.sumOf { it.millitokens }
+            val parts = ask(wanted)
+            if (parts.sumOf { it.millitokens } < wanted) {
                 synchronized(this) {
                     pausedUntilNanos = timer.nanoTime() + settings.borrowPauseMillis * NANOS_PER_MILLI
                 }
@@ -75,9 +77,9 @@
         }
     }
 
-    private suspend fun ask(tokens: Int): List<BorrowedPart> {
+    private suspend fun ask(millitokens: Int): List<BorrowedPart> {
         val parts = ArrayList<BorrowedPart>()
-        var missing = tokens
+        var missing = millitokens
         for (shard in lendersByLevel()) {
             if (missing == 0) break
             val request = AcquireRequest(
@@ -111,20 +113,20 @@
     private fun distribute(batch: List<Waiter>, parts: List<BorrowedPart>) {
         val rest = ArrayDeque(parts)
         for (waiter in batch) {
-            val own = takeTokens(rest, waiter.tokens)
-            if (!waiter.parts.complete(own)) own.forEach { it.use.settle(it.tokens, unspent = it.tokens) }
+            val own = takeParts(rest, waiter.millitokens)
+            if (!waiter.parts.complete(own)) own.forEach { it.use.settle(it.millitokens, unspent = it.millitokens) }
         }
-        rest.forEach { it.use.settle(it.tokens, unspent = it.tokens) }
+        rest.forEach { it.use.settle(it.millitokens, unspent = it.millitokens) }
     }
 
-    private fun takeTokens(rest: ArrayDeque<BorrowedPart>, tokens: Int): List<BorrowedPart> {
+    private fun takeParts(rest: ArrayDeque<BorrowedPart>, millitokens: Int): List<BorrowedPart> {
         val taken = ArrayList<BorrowedPart>()
-        var missing = tokens
+        var missing = millitokens
         while (missing > 0 && rest.isNotEmpty()) {
             val part = rest.removeFirst()
-            val count = minOf(missing, part.tokens)
+            val count = minOf(missing, part.millitokens)
             taken += BorrowedPart(part.use, count)
-            if (count < part.tokens) rest.addFirst(BorrowedPart(part.use, part.tokens - count))
+            if (count < part.millitokens) rest.addFirst(BorrowedPart(part.use, part.millitokens - count))
             missing -= count
         }
         return taken
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/FleetLimiter.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/FleetLimiter.kt
@@ -74,7 +74,7 @@
     }
 
     /** Spends one token if its grant is still valid; an expired token is reported as ended and lost. */
-    private fun spend(use: GrantUse): Boolean = use.isValid(timer).also { use.settle(tokens = 1, unspent = 0) }
+    private fun spend(use: GrantUse): Boolean = use.isValid(timer).also { use.settle(amount = 1, unspent = 0) }
 
     private fun lane(shard: LimitShardId, customer: CustomerId): AcquireLane {
         // A customer that makes its owner borrow has a lane of its own, so that others do not wait for the lender.
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
@@ -4,12 +4,15 @@
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import ragwortbarrow.core.config.ConfigurationView
 import ragwortbarrow.core.ids.CustomerId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.lease.HeldLease
 import ragwortbarrow.core.lease.ShardHolder
+import ragwortbarrow.core.limits.OwnedShard.Companion.MAX_AMOUNT
+import ragwortbarrow.core.limits.OwnedShard.Companion.TOKEN_MILLITOKENS
 import ragwortbarrow.core.membership.MemberView
 import ragwortbarrow.core.peer.AcquireItem
 import ragwortbarrow.core.peer.AcquireReply
@@ -47,49 +50,59 @@
 
     override suspend fun acquire(request: AcquireRequest): Result<AcquireReply, PeerError> {
         val accounts = owned[request.shard]?.accounts ?: return Ok(notOwner(request.shard))
-        request.spentGrantIds.forEach { accounts.settle(it, unspentTokens = 0) }
+        request.spentGrantIds.forEach { accounts.settle(it, unspent = 0) }
+        val unit = if (request.lend) 1 else TOKEN_MILLITOKENS
         // All accounts are debited before any borrowing starts, so that no customer waits for another one's lender.
         val debits = request.items.map { item ->
-            accounts.entry(item.customer)?.let {
-                it to
-                    (accounts.debit(it, item.tokens) ?: return Ok(notOwner(request.shard)))
-            }
+            val entry = accounts.entry(item.customer) ?: return@map Debited(item, null, null)
+            val debit = accounts.debit(entry, item.tokens.coerceIn(0, MAX_AMOUNT), unit)
+            Debited(item, entry, debit ?: return Ok(notOwner(request.shard)))
         }
-        val grants = coroutineScope {
-            request.items.zip(debits).map { (item, debit) ->
-                when {
-                    debit == null -> async { TokenGrant(0, item.customer, 0, 0, UNKNOWN_CUSTOMER_RETRY_MILLIS) }
-                    else -> async { complete(accounts, debit.first, debit.second, item, request.lend) }
-                }
-            }.map { it.await() }
+        val isShort = debits.size > 1 && debits.any { it.debit != null && it.debit.amount < it.item.tokens }
+        val grants = if (isShort && !request.lend) {
+            coroutineScope { debits.map { async { complete(accounts, it, request.lend) } }.awaitAll() }
+        } else {
+            debits.map { complete(accounts, it, request.lend) }
         }
         return Ok(AcquireReply.Granted(accounts.lease.fencingNumber, grants))
     }
 
-    private suspend fun complete(
+    /** What an item of a request got from the account itself; nothing without an account. */
+    private class Debited(val item: AcquireItem, val entry: OwnedShard.Entry?, val debit: OwnedShard.Debit?)
+
+    private suspend fun complete(accounts: OwnedShard, debited: Debited, lend: Boolean): TokenGrant {
+        val item = debited.item
+        val entry = debited.entry
+        val debit = debited.debit
+        if (entry == null || debit == null) return TokenGrant(0, item.customer, 0, 0, UNKNOWN_CUSTOMER_RETRY_MILLIS)
+        val missing = if (lend) 0 else item.tokens.coerceAtMost(MAX_AMOUNT) - debit.amount
+        if (missing <= 0) return grant(accounts, entry, debit, item, debit.amount, debit.validityMillis)
+        val own = synchronized(entry.account) { entry.account.levelMillitokens(timer.nanoTime()) }
+        val borrowed = entry.borrower.borrow(missing * TOKEN_MILLITOKENS - own.coerceAtMost(TOKEN_MILLITOKENS - 1))
+        val tokens = debit.amount + accounts.extend(entry, debit, missing, borrowed)
+        val borrowedMillis = borrowed.minOfOrNull { it.use.remainingNanos(timer) / NANOS_PER_MILLI } ?: Long.MAX_VALUE
+        val validityMillis = minOf(debit.validityMillis, borrowedMillis).coerceAtLeast(0)
+        return grant(accounts, entry, debit, item, tokens, validityMillis)
+    }
+
+    private fun grant(
         accounts: OwnedShard,
         entry: OwnedShard.Entry,
         debit: OwnedShard.Debit,
         item: AcquireItem,
-        lend: Boolean,
-    ): TokenGrant {
-        val missing = item.tokens - debit.tokens
-        val borrowed = if (missing > 0 && !lend) entry.borrower.borrow(missing) else emptyList()
-        if (borrowed.isNotEmpty()) accounts.attach(debit.grantId, borrowed)
-        val borrowedMillis = borrowed.minOfOrNull { it.use.remainingNanos(timer) / NANOS_PER_MILLI } ?: Long.MAX_VALUE
-        val tokens = debit.tokens + borrowed.sumOf { it.tokens }
-        if (tokens == 0) accounts.settle(debit.grantId, unspentTokens = 0)
-        return synchronized(entry.account) {
-            val nowNanos = timer.nanoTime()
-            TokenGrant(
-                grantId = debit.grantId,
-                customer = item.customer,
-                tokens = tokens,
-                validityMillis = minOf(debit.validityMillis, borrowedMillis).coerceAtLeast(0),
-                retryAfterMillis = if (tokens < item.tokens) entry.account.millisUntilToken(nowNanos) else 0,
-                levelTokens = entry.account.levelTokens(nowNanos),
-            )
-        }
+        tokens: Int,
+        validityMillis: Long,
+    ): TokenGrant = synchronized(entry.account) {
+        if (tokens == 0) accounts.settle(debit.grantId, unspent = 0)
+        val nowNanos = timer.nanoTime()
+        TokenGrant(
+            grantId = debit.grantId,
+            customer = item.customer,
+            tokens = tokens,
+            validityMillis = validityMillis,
+            retryAfterMillis = if (tokens < item.tokens) entry.account.millisUntilToken(nowNanos) else 0,
+            levelTokens = entry.account.levelMillitokens(nowNanos) / TOKEN_MILLITOKENS,
+        )
     }
 
     override suspend fun giveBack(request: ReturnRequest): Result<Unit, PeerError> {
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/OwnedShard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/OwnedShard.kt
@@ -21,8 +21,13 @@
     /** An account with its way to borrow. */
     class Entry(val account: Account, val borrower: Borrower)
 
-    /** A grant given to an asker: tokens of the account and tokens borrowed for it. */
-    private class Given(val account: Account, val ownTokens: Int, val borrowed: List<BorrowedPart>)
+    /** A grant given to an asker, counted in units of [unit]: from the account itself and borrowed for it. */
+    private class Given(
+        val account: Account,
+        val unit: Int,
+        val ownMillitokens: Int,
+        val borrowed: List<BorrowedPart> = emptyList(),
+    )
 
     private val entries = ConcurrentHashMap<CustomerId, Entry>()
     private val given = ConcurrentHashMap<Long, Given>()
@@ -62,35 +67,71 @@
         return synchronized(account) { lease.remainingMillis() > 0 && account.take(1, timer.nanoTime()) == 1 }
     }
 
-    /** Debits up to [tokens] for [validityMillis] at most and returns the id and the tokens, or null without a lease. */
-    fun debit(entry: Entry, tokens: Int): Debit? = synchronized(entry.account) {
+    /**
+     * Debits up to [amount] units of [unit] thousandths of a token, valid for as long as the lease allows, or returns
+     * null without a lease.
+     */
+    fun debit(entry: Entry, amount: Int, unit: Int): Debit? = synchronized(entry.account) {
         val validityMillis = minOf(settings.grantValidityMillis, lease.remainingMillis())
         if (validityMillis <= 0) return null
         val nowNanos = timer.nanoTime()
         val grantId = grantIds.incrementAndGet()
-        val endNanos = nowNanos + (validityMillis + settings.grantMarginMillis) * NANOS_PER_MILLI
-        val taken = entry.account.grant(grantId, tokens, nowNanos, endNanos)
-        given[grantId] = Given(entry.account, taken, emptyList())
-        Debit(grantId, taken, validityMillis)
+        val taken = entry.account.grant(grantId, amount * unit, unit, nowNanos, endNanos(nowNanos, validityMillis))
+        given[grantId] = Given(entry.account, unit, taken)
+        Debit(grantId, taken / unit, validityMillis)
     }
 
-    data class Debit(val grantId: Long, val tokens: Int, val validityMillis: Long)
+    data class Debit(val grantId: Long, val amount: Int, val validityMillis: Long)
 
-    /** Adds borrowed tokens to a grant that has not been sent yet. */
-    fun attach(grantId: Long, borrowed: List<BorrowedPart>) {
-        given.computeIfPresent(grantId) { _, before -> Given(before.account, before.ownTokens, borrowed) }
+    /**
+     * Adds borrowed parts to a grant that has not been sent yet, and from the account what is missing to whole tokens.
+     * Returns the added tokens. Borrowed thousandths beyond them go into the account.
+     */
+    fun extend(entry: Entry, debit: Debit, missingTokens: Int, borrowed: List<BorrowedPart>): Int {
+        val account = entry.account
+        val lent = borrowed.sumOf { it.millitokens }
+        val added = synchronized(account) {
+            val nowNanos = timer.nanoTime()
+            val tokens = minOf(missingTokens, (lent + account.levelMillitokens(nowNanos)) / TOKEN_MILLITOKENS)
+            val own = (tokens * TOKEN_MILLITOKENS - lent).coerceAtLeast(0)
+            val endNanos = endNanos(nowNanos, debit.validityMillis)
+            val taken = account.grant(debit.grantId, own, step = 1, nowNanos, endNanos)
+            val before = given[debit.grantId]?.ownMillitokens ?: 0
+            given[debit.grantId] = Given(account, TOKEN_MILLITOKENS, before + taken, borrowed)
+            tokens
+        }
+        keepSurplus(account, debit.grantId, borrowed, lent - added * TOKEN_MILLITOKENS)
+        return added
     }
 
-    /** Ends a grant; unspent tokens go back to the account first and then to the lenders. */
-    fun settle(grantId: Long, unspentTokens: Int) {
+    private fun keepSurplus(account: Account, grantId: Long, borrowed: List<BorrowedPart>, surplus: Int) {
+        if (surplus <= 0) return
+        var rest = surplus
+        val kept = borrowed.map { part ->
+            val moved = minOf(rest, part.millitokens).also { rest -= it }
+            val taken = synchronized(account) {
+                account.credit(moved, timer.nanoTime()) { part.use.isValid(timer) }
+            }
+            part.use.settle(moved, unspent = moved - taken)
+            BorrowedPart(part.use, part.millitokens - moved)
+        }
+        given.computeIfPresent(grantId) { _, before -> Given(account, before.unit, before.ownMillitokens, kept) }
+    }
+
+    private fun endNanos(nowNanos: Long, validityMillis: Long) =
+        nowNanos + (validityMillis + settings.grantMarginMillis) * NANOS_PER_MILLI
+
+    /** Ends a grant; what was not spent, in units of the grant, goes back to the account first, then to the lenders. */
+    fun settle(grantId: Long, unspent: Int) {
         val grant = given.remove(grantId) ?: return
-        val ownUnspent = minOf(unspentTokens, grant.ownTokens)
+        val unspentMillitokens = unspent.coerceIn(0, MAX_AMOUNT) * grant.unit
+        val ownUnspent = minOf(unspentMillitokens, grant.ownMillitokens)
         synchronized(grant.account) { grant.account.settle(grantId, ownUnspent, timer.nanoTime()) }
-        var rest = unspentTokens - ownUnspent
+        var rest = unspentMillitokens - ownUnspent
         for (part in grant.borrowed) {
-            val unspent = minOf(rest, part.tokens)
-            part.use.settle(part.tokens, unspent)
-            rest -= unspent
+            val returned = minOf(rest, part.millitokens)
+            part.use.settle(part.millitokens, returned)
+            rest -= returned
         }
     }
 
@@ -99,7 +140,12 @@
         synchronized(entry.account) { entry.account.drain(timer.nanoTime()) }
     }.filterValues { it > 0 }
 
-    private companion object {
-        const val GRANT_ID_BITS = 36
+    companion object {
+        /** One token in the unit in which owners lend to each other. */
+        const val TOKEN_MILLITOKENS = 1_000
+
+        /** More in one request would overflow an int of thousandths. */
+        const val MAX_AMOUNT = 1_000_000
+        private const val GRANT_ID_BITS = 36
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/peer/PeerService.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/peer/PeerService.kt
@@ -101,7 +101,10 @@
     val wantAll: Boolean = false,
 )
 
-/** Asks for whole tokens from accounts of [shard]; with [lend] the owner gives only what it has itself. */
+/**
+ * Asks for tokens from accounts of [shard]. With [lend], an owner asks another one: the owner gives only what it has
+ * itself, and amounts in the request, its grants and their returns are in thousandths of a token.
+ */
 data class AcquireRequest(
     val asker: VmId,
     val shard: LimitShardId,
--- a/core/src/test/kotlin/ragwortbarrow/core/limits/AccountTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/limits/AccountTest.kt
@@ -38,13 +38,14 @@
         for (millis in 0L..20_000L) {
             val nanos = millis * NANOS_PER_MILLI
             if (random.nextInt(if (millis / 2_500 % 2 == 0L) 1_000 else 20) == 0) {
-                val tokens = account.grant(millis, random.nextInt(1, 6), nanos, nanos + endMillis * NANOS_PER_MILLI)
+                val endNanos = nanos + endMillis * NANOS_PER_MILLI
+                val tokens = account.grant(millis, random.nextInt(1, 6) * 1_000, step = 1_000, nanos, endNanos) / 1_000
                 spends += Triple(millis + random.nextInt(500), millis, tokens)
             }
             spends.filter { it.first == millis }.forEach { (_, id, tokens) ->
                 val unspent = if (tokens > 0) random.nextInt(tokens) else 0
                 repeat(tokens - unspent) { record.note(isAdmitted = true, nanos) }
-                if (random.nextBoolean()) account.settle(id, unspent, nanos)
+                if (random.nextBoolean()) account.settle(id, unspent * 1_000, nanos)
             }
         }
         return record.excess
@@ -62,14 +63,14 @@
     @Test
     fun `an expired grant gives room for refill only from its expiry on`() {
         val account = Account(share(), startNanos = 0, levelPicotokens = 10 * TOKEN)
-        account.grant(grantId = 1, tokens = 10, nowNanos = 0, endNanos = NANOS_PER_SECOND)
+        account.grant(grantId = 1, millitokens = 10_000, step = 1, nowNanos = 0, endNanos = NANOS_PER_SECOND)
         expectThat(account.drain(2 * NANOS_PER_SECOND)).isEqualTo(7 * TOKEN)
     }
 
     @Test
     fun `a smaller share drops what is above it at once`() {
         val account = Account(share(), startNanos = 0, levelPicotokens = 10 * TOKEN)
-        account.grant(grantId = 1, tokens = 2, nowNanos = 0, endNanos = NANOS_PER_SECOND)
+        account.grant(grantId = 1, millitokens = 2_000, step = 1, nowNanos = 0, endNanos = NANOS_PER_SECOND)
         account.change(Share(1_000_000, 5 * TOKEN), nowNanos = 0)
         expectThat(account.levelTokens(0)).isEqualTo(3)
     }
--- a/core/src/test/kotlin/ragwortbarrow/core/limits/Guards.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/limits/Guards.kt
@@ -20,10 +20,15 @@
         val WITHOUT: Map<String, Guards> = mapOf(
             "debit before sending" to Guards(accounts = { share, start, level, expired ->
                 object : Account(share, start, level, expired) {
-                    override fun grant(grantId: Long, tokens: Int, nowNanos: Long, endNanos: Long): Int =
-                        minOf(tokens, levelTokens(nowNanos))
+                    override fun grant(
+                        grantId: Long,
+                        millitokens: Int,
+                        step: Int,
+                        nowNanos: Long,
+                        endNanos: Long,
+                    ): Int = minOf(millitokens, levelMillitokens(nowNanos)) / step * step
 
-                    override fun settle(grantId: Long, unspentTokens: Int, nowNanos: Long) {
+                    override fun settle(grantId: Long, unspentMillitokens: Int, nowNanos: Long) {
                         take(1, nowNanos)
                     }
                 }
