Test that limits serve again after each fault

Safe limits that only refuse would pass the property, so LimitServiceTest checks service after takeover, restart, hand-over, platform outage, a cut-off failure domain, loss of both and a layout change. It found that a released shard stayed without an owner for up to 500 ms, until the standby's next tick; the owner's notice now starts the standby's step at once.

--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitService.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitService.kt
@@ -145,7 +145,11 @@
     /** Promises an owner to consent to no other one for a term. */
     suspend fun promise(request: PromiseRequest): Result<PromiseReply, PeerError> {
         if (request.termMillis > 0) return Ok(duty.promise(request))
-        leases[request.shard]?.watchSoon()
+        // A promise for no time is how an owner tells of a change; a released shard is then claimed without delay.
+        leases[request.shard]?.let { lease ->
+            lease.watchSoon()
+            scope.launch { guarded { lease.step() } }
+        }
         return Ok(PromiseReply(promised = false, reason = "no term"))
     }
 
--- a/core/src/test/kotlin/ragwortbarrow/core/limits/SimulatedFleet.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/limits/SimulatedFleet.kt
@@ -35,6 +35,7 @@
     val events = ArrayList<String>()
     val admissions = customers.associate { it.id to AdmissionRecord(it) }
     var lossPercent = 0
+    var acquireCalls = 0
     var slowPercent = 0
     private val background = CoroutineScope(Dispatchers.Unconfined + SupervisorJob())
     private val cuts = HashSet<Set<FailureDomainId>>()
--- a/core/src/test/kotlin/ragwortbarrow/core/limits/SimulatedProcess.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/limits/SimulatedProcess.kt
@@ -173,7 +173,10 @@
 
     /** Another process as this one reaches it. */
     private inner class Peer(private val target: SimulatedProcess?) : PeerService by fleet.unusedPeer {
-        override suspend fun acquire(request: AcquireRequest) = send { it.acquire(request) }
+        override suspend fun acquire(request: AcquireRequest) = send {
+            fleet.acquireCalls++
+            it.acquire(request)
+        }
 
         override suspend fun giveBack(request: ReturnRequest) = send { it.giveBack(request) }
 
