--- a/core/src/main/kotlin/ragwortbarrow/core/manifest/ManifestCheck.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/manifest/ManifestCheck.kt
@@ -84,6 +84,7 @@
             "//" in prefix || normal.split('/').any { it == "." || it == ".." } ->
                 fault(path, "must not have empty, '.' or '..' segments").add()
         }
+        if (normal.isEmpty()) return
         RESERVED.filter { normal.overlaps(it) }.forEach { fault(path, "overlaps the reserved path '$it'").add() }
         manifest.services.take(index).forEachIndexed { other, service ->
             if (normal.overlaps(service.pathPrefix.trimEnd('/'))) {
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/config/ConfigurationPublisherTest.kt
@@ -0,0 +1,115 @@
+package ragwortbarrow.core.config
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.unwrap
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.store.MemoryObjectStore
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.SafeWriter
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.store.StoreFault
+import ragwortbarrow.core.store.StoreFaults
+import ragwortbarrow.core.time.ManualTimerService
+import ragwortbarrow.core.time.pause
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.startsWith
+
+/** Guards the single order of configurations: one winner of a race, no merge, and no version that is used twice. */
+class ConfigurationPublisherTest {
+    private val timer = ManualTimerService()
+    private val store = MemoryObjectStore(StoreFaults { _, _, _ -> StoreFault.None.also { slowCall() } })
+    private var callMillis = 0L
+
+    @Test
+    fun `of two operators racing one wins and the other learns the winner`() = runTest {
+        publisher("ann").publish(manifestOf()).unwrap()
+        callMillis = 10
+        val racing = listOf("ben" to 9, "eve" to 10).map { (name, customers) ->
+            async { publisher(name).publish(manifestOf(customers = customers)) }
+        }
+        repeat(50) {
+            testScheduler.runCurrent()
+            timer.advance(10)
+        }
+        val results = racing.awaitAll()
+        val winner = results.single { it.isOk }.unwrap()
+        expectThat(winner.head.version).isEqualTo(2)
+        expectThat(results.single { it.isErr }.getError()).isA<PublishError.LostRace>().and {
+            get { version }.isEqualTo(2)
+            get { writer }.isEqualTo(winner.head.writer)
+            get { message }.contains(winner.head.writer)
+        }
+    }
+
+    @Test
+    fun `an expected version that is not in force is refused with the version and its writer`() = runTest {
+        publisher("ann").publish(manifestOf()).unwrap()
+        val refused = publisher("ben").publish(manifestOf(customers = 9), expectedVersion = 0).getError()
+        expectThat(refused).isA<PublishError.LostRace>().and {
+            get { version }.isEqualTo(1)
+            get { writer }.startsWith("ann#")
+        }
+    }
+
+    @Test
+    fun `a faulty manifest changes nothing`() = runTest {
+        val faulty = manifestOf().let { it.copy(customers = it.customers + it.customers.first()) }
+        expectThat(publisher("ann").publish(faulty).getError()).isA<PublishError.Invalid>()
+            .get { faults }.hasSize(1)
+        expectThat(store.list(ObjectKind.CONFIGURATION_PARTS).unwrap().items).hasSize(0)
+    }
+
+    @Test
+    fun `publishing the manifest in force again makes no new version`() = runTest {
+        publisher("ann").publish(manifestOf()).unwrap()
+        val again = publisher("ben").publish(manifestOf().let { it.copy(customers = it.customers.reversed()) })
+        expectThat(again.unwrap().head.version).isEqualTo(1)
+    }
+
+    @Test
+    fun `lost replies do not lead to a second version`() = runTest {
+        val faults = SwitchedFaults().apply { loseWriteReplies = true }
+        val lossy = MemoryObjectStore(faults)
+        val published = ConfigurationPublisher(lossy, SafeWriter(lossy, timer, "ann")).publish(manifestOf())
+        expectThat(published.unwrap().head.version).isEqualTo(1)
+    }
+
+    @Test
+    fun `an outage is reported as nothing changed`() = runTest {
+        val down = MemoryObjectStore(SwitchedFaults().apply { outage = true })
+        val refused = ConfigurationPublisher(down, SafeWriter(down, timer, "ann")).publish(manifestOf()).getError()
+        expectThat(refused).isA<PublishError.Platform>().and {
+            get { error }.isA<StoreError.Unavailable>()
+            get { message }.startsWith("nothing was changed")
+        }
+    }
+
+    @Test
+    fun `a manifest of thirty thousand backend servers stays under one megabyte for each object`() = runTest {
+        val huge = manifestOf(customers = 10_000, servers = 30_000)
+        publisher("ann").publish(huge).unwrap()
+        val largest = store.list(ObjectKind.CONFIGURATION_PARTS).unwrap().items.maxOf { it.spec.toString().length }
+        expectThat(largest).isLessThan(1_000_000)
+        val head = ConfigurationObjects.headOf(store.get(ObjectKind.CONFIGURATIONS, "head").unwrap())
+        val parts = huge.cutIntoParts().parts
+        val sorted = huge.copy(
+            customers = huge.customers.sortedBy { it.id.value },
+            backendServers = huge.backendServers.sortedBy { it.id.value },
+        )
+        expectThat(joinParts(head, parts::get).unwrap()).isEqualTo(sorted)
+    }
+
+    private fun publisher(name: String) = ConfigurationPublisher(store, SafeWriter(store, timer, name))
+
+    private suspend fun slowCall() {
+        if (callMillis > 0) timer.pause(callMillis)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/store/SafeWriterTest.kt
@@ -0,0 +1,133 @@
+package ragwortbarrow.core.store
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.unwrap
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.time.ManualTimerService
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.TimerSubscription
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+/** Guards against taking a write whose reply was lost for a failure, or for a success that somebody else has undone. */
+class SafeWriterTest {
+    private val kind = ObjectKind.LIMIT_SHARDS
+    private val timer = object : TimerService by ManualTimerService() {
+        override fun once(delayMillis: Long, action: () -> Unit) = TimerSubscription { }.also { action() }
+    }
+    private val memory = MemoryObjectStore()
+    private val platform = FaultyWrites(memory)
+    private val writer = SafeWriter(platform, timer, "vm-1/1", readBackAttempts = 3)
+    private val other = SafeWriter(memory, timer, "vm-2/1")
+
+    @Test
+    fun `a write that took effect without a reply is a success and is sent once`() = runTest {
+        platform.faults += { send -> send().let { lost } }
+        val created = writer.create(kind, "a", spec("1")).unwrap()
+        platform.faults += { send -> send().let { lost } }
+        expectThat(writer.update(created, spec("2")).unwrap().version).isEqualTo(2)
+        expectThat(platform.writes).isEqualTo(2)
+    }
+
+    @Test
+    fun `a write that took effect and was replaced since is still a success`() = runTest {
+        val created = writer.create(kind, "a", spec("1")).unwrap()
+        platform.faults += { send -> other.update(send().unwrap(), spec("other")).let { lost } }
+        expectThat(writer.update(created, spec("2")).isOk).isEqualTo(true)
+    }
+
+    @Test
+    fun `a write that never arrived and lost to another one is a conflict`() = runTest {
+        val created = writer.create(kind, "a", spec("1")).unwrap()
+        platform.faults += { other.update(created, spec("other")).let { lost } }
+        expectThat(writer.update(created, spec("2")).getError()).isA<StoreError.Conflict>()
+        platform.faults += { other.create(kind, "b", spec("other")).let { lost } }
+        expectThat(writer.create(kind, "b", spec("2")).getError()).isA<StoreError.AlreadyExists>()
+    }
+
+    @Test
+    fun `a write that arrives after the read back takes effect once`() = runTest {
+        val created = writer.create(kind, "a", spec("1")).unwrap()
+        var delayed: (suspend () -> Result<StoredObject, StoreError>)? = null
+        platform.faults += { send -> lost.also { delayed = send } }
+        // The second copy finds that the first one has arrived meanwhile.
+        platform.faults += { send -> checkNotNull(delayed)().let { send() } }
+        expectThat(writer.update(created, spec("2")).unwrap().version).isEqualTo(2)
+        expectThat(memory.get(kind, "a").unwrap().version).isEqualTo(2)
+    }
+
+    @Test
+    fun `a write stays unknown when the platform cannot be read`() = runTest {
+        platform.faults += { send -> send().let { lost } }
+        platform.readsFail = true
+        expectThat(writer.create(kind, "a", spec("1")).getError()).isA<StoreError.OutcomeUnknown>()
+    }
+
+    @Test
+    fun `a write stays unknown when a writer without tokens has replaced it`() = runTest {
+        val created = writer.create(kind, "a", spec("1")).unwrap()
+        platform.faults += { memory.update(kind, "a", created.version, spec("plain")).let { lost } }
+        expectThat(writer.update(created, spec("2")).getError()).isA<StoreError.OutcomeUnknown>()
+    }
+
+    @Test
+    fun `a stale read does not turn a lost reply into a refusal`() = runTest {
+        val created = writer.create(kind, "a", spec("1")).unwrap()
+        platform.reads = memory.copy()
+        platform.faults += { send -> send().let { lost } }
+        expectThat(writer.update(created, spec("2")).getError()).isA<StoreError.OutcomeUnknown>()
+    }
+
+    @Test
+    fun `a delete without a reply is resolved by the absence of the object`() = runTest {
+        val created = writer.create(kind, "a", spec("1")).unwrap()
+        platform.loseNextDelete = true
+        expectThat(writer.delete(created)).isEqualTo(Ok(Unit))
+    }
+
+    private val lost: Result<StoredObject, StoreError> = Err(StoreError.OutcomeUnknown("the reply was lost"))
+
+    private fun spec(value: String) = JsonObject(mapOf("value" to JsonPrimitive(value)))
+}
+
+private typealias Write = suspend () -> Result<StoredObject, StoreError>
+
+/** Lets a test decide for each write what happens around it; without an entry the write goes through. */
+private class FaultyWrites(private val store: MemoryObjectStore) : ObjectStore by store {
+    val faults = ArrayDeque<suspend (Write) -> Result<StoredObject, StoreError>>()
+    var reads: ObjectStore = store
+    var readsFail = false
+    var loseNextDelete = false
+    var writes = 0
+
+    override suspend fun get(kind: ObjectKind, name: String) =
+        if (readsFail) Err(StoreError.Unavailable("down")) else reads.get(kind, name)
+
+    override suspend fun create(kind: ObjectKind, name: String, spec: JsonObject, labels: Map<String, String>) =
+        write { store.create(kind, name, spec, labels) }
+
+    override suspend fun update(
+        kind: ObjectKind,
+        name: String,
+        expectedVersion: Long,
+        spec: JsonObject,
+        labels: Map<String, String>,
+    ) = write { store.update(kind, name, expectedVersion, spec, labels) }
+
+    override suspend fun delete(kind: ObjectKind, name: String, expectedVersion: Long): Result<Unit, StoreError> {
+        val result = store.delete(kind, name, expectedVersion)
+        return if (loseNextDelete) Err(StoreError.OutcomeUnknown("lost")).also { loseNextDelete = false } else result
+    }
+
+    private suspend fun write(send: Write): Result<StoredObject, StoreError> {
+        writes++
+        return faults.removeFirstOrNull()?.invoke(send) ?: send()
+    }
+}
