Make three guards of the online path fail without their code

Cause: with the code of a guard removed on a scratch copy, three tests still passed: the retry budget (pauses of failed servers bounded the retries as well), the comparison of restarted streams (the fake stream ended without completing) and the refusal after an attempt that may have run (no test reached it). Change: the budget test runs without pauses, the differing stream completes, and a new test refuses in the queue after an attempt.

--- a/core/src/test/kotlin/ragwortbarrow/core/routing/BrokenStreamTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/routing/BrokenStreamTest.kt
@@ -43,7 +43,8 @@
         client.onResume = { _, _, emit -> emit(StreamEvent.Broken(unknown)) }
         val first = client.onStream
         client.onStream = { server, emit ->
-            if (client.sent.size == 1) first(server, emit) else emit(StreamEvent.Chunk(0, "something else"))
+            if (client.sent.size > 1) emit(StreamEvent.Chunk(0, "something else"))
+            if (client.sent.size == 1) first(server, emit) else client.chunks(1, 6, emit)
         }
         expectThat(stream(call("r1"))).hasSize(4).last().isBroken()
     }
--- a/core/src/test/kotlin/ragwortbarrow/core/routing/OnlineFixture.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/routing/OnlineFixture.kt
@@ -107,6 +107,7 @@
     servers: List<BackendServer>,
     customers: List<Customer> = emptyList(),
     queueLength: Int = 64,
+    firstPauseMillis: Long = 100,
 ) {
     val timer = ManualTimerService()
     val client = FakeBackendClient(timer)
@@ -117,6 +118,7 @@
         configuration,
         timer,
         ownDomain,
+        health = ServerHealth(timer, firstPauseMillis),
         random = Random(7),
         isLeaving = { it in leavingByVmList },
         dispatcher = Dispatchers.Unconfined,
--- a/core/src/test/kotlin/ragwortbarrow/core/routing/RoutedOnlineServiceTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/routing/RoutedOnlineServiceTest.kt
@@ -18,6 +18,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
@@ -74,6 +75,15 @@
         expectThat(reply.error().execution).isEqualTo(Execution.UNKNOWN)
     }
 
+    @Test
+    fun `a refusal of the queue after an attempt that may have run does not claim not-run`() {
+        val single = OnlineFixture(listOf(server("a")))
+        single.client.onSend = { _, _ -> unknown.also { single.leavingByVmList += BackendServerId("a") } }
+        val error = single.answer(call("r1")).error()
+        expectThat(error.code).isEqualTo(ResultCode.NO_BACKEND_SERVER)
+        expectThat(error.execution).isEqualTo(Execution.UNKNOWN)
+    }
+
     @Test
     fun `requests wait while all servers are full and are refused as not-run beyond the bounds`() {
         val small = OnlineFixture(listOf(server("a", slots = 1)), queueLength = 1)
@@ -133,17 +143,19 @@
 
     @Test
     fun `retries in a brown-out stay within ten percent of the requests plus ten`() {
-        client.onSend = { _, _ ->
-            timer.pause(5)
+        // Without pauses of failed servers, only the budget bounds the retries.
+        val brownOut = OnlineFixture(listOf(server("a"), server("b")), firstPauseMillis = 0)
+        brownOut.client.onSend = { _, _ ->
+            brownOut.timer.pause(5)
             unknown
         }
         val replies = (1..1_000).map { index ->
-            timer.advance(10)
-            fixture.answer(call("r$index"))
+            brownOut.timer.advance(10)
+            brownOut.answer(call("r$index"))
         }
-        timer.advance(60_000)
-        expectThat(replies.count { it.isCompleted }).isEqualTo(1_000)
-        expectThat(client.sent.size).isLessThanOrEqualTo(1_000 + 100 + 10)
+        brownOut.timer.advance(1_000)
+        expectThat(replies.count { it.error().code == ResultCode.RETRY_BUDGET_SPENT }).isGreaterThan(800)
+        expectThat(brownOut.client.sent.size).isLessThanOrEqualTo(1_000 + 100 + 10)
     }
 
     @Test
