--- a/standins/src/main/kotlin/ragwortbarrow/standins/engine/LaggingLoad.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/engine/LaggingLoad.kt
@@ -4,7 +4,7 @@
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 
 /** The load as it was [lagMillis] ago. */
-internal class LaggingLoad(
+class LaggingLoad(
     private val slots: Int,
     private val lagMillis: Long,
     private val nanoTime: () -> Long = System::nanoTime,
