--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/membership/StoreContacts.kt
@@ -0,0 +1,40 @@
+package ragwortbarrow.core.membership
+
+import com.github.michaelbull.result.get
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonPrimitive
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectStore
+import ragwortbarrow.core.store.StoredObject
+
+/** Contacts from the platform's list of VMs, which lags, and from the nodes' own lease objects. */
+class StoreContacts(private val store: ObjectStore) : ContactSource {
+    override suspend fun read(): List<Contact>? {
+        val vms = readKind(ObjectKind.VMS)
+        val leases = readKind(ObjectKind.VM_LEASES)
+        if (vms == null && leases == null) return null
+        return (leases.orEmpty() + vms.orEmpty()).distinctBy { it.vm }
+    }
+
+    private suspend fun readKind(kind: ObjectKind): List<Contact>? {
+        val contacts = mutableListOf<Contact>()
+        var continueToken: String? = null
+        do {
+            val page = store.list(kind, continueToken = continueToken).get() ?: return contacts.ifEmpty { null }
+            contacts += page.items.mapNotNull { it.toContact() }
+            continueToken = page.continueToken
+        } while (continueToken != null)
+        return contacts
+    }
+
+    private fun StoredObject.toContact(): Contact? {
+        val domain = text("failureDomain") ?: return null
+        val address = text("peerAddress")?.ifBlank { null } ?: return null
+        return Contact(VmId(text("vm") ?: name), FailureDomainId(domain), address)
+    }
+
+    private fun StoredObject.text(field: String): String? =
+        runCatching { spec[field]?.jsonPrimitive?.contentOrNull }.getOrNull()
+}
