Add the callers' HTTP API, settings, logs, metrics and drain of the node

Callers use existing OpenAI clients, so the node serves their paths: chat completions and completions whole or streamed, models, files, batches, and plain services by prefix. The API works against the core's interfaces and is tested with fakes over loopback.

A stream sends its status with its first event, so that a failure before it is an ordinary refusal. Later failures, a flow that ends without a last event, and the withdrawal of the key (checked at each event and every 500 ms) end it with an error event and without [DONE]. Authorization and the headers of one connection are left out of what a backend server gets. The key is checked before the body is read, so an unknown caller cannot make the node buffer it.

Settings are Clikt options with an environment variable each. Clikt reports missing and malformed values together; faults between settings are collected by hand, and their messages name the flag because Clikt drops the parameter name of errors raised after parsing.

Logs are one key=value line an event through an asynchronous appender; a full queue drops lines up to info instead of holding requests up.

--- /dev/null
+++ b/node/src/main/kotlin/ragwortbarrow/node/http/CallerParts.kt
@@ -0,0 +1,27 @@
+package ragwortbarrow.node.http
+
+import ragwortbarrow.core.batch.BatchService
+import ragwortbarrow.core.config.ConfigurationView
+import ragwortbarrow.core.keys.KeyView
+import ragwortbarrow.core.limits.AdmissionLimiter
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.routing.OnlineService
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.node.drain.Drain
+import ragwortbarrow.node.metrics.NodeMetrics
+
+/** What the callers' API is joined from. */
+class CallerParts(
+    val configuration: ConfigurationView,
+    val keys: KeyView,
+    val limiter: AdmissionLimiter,
+    val online: OnlineService,
+    val batch: BatchService,
+    val drain: Drain,
+    val metrics: NodeMetrics,
+    val timer: TimerService,
+    val log: DecisionLog,
+    val bodyLimitBytes: Int? = null,
+    val fileLimitBytes: Long = 64_000_000,
+    val requestTimeoutMillis: Long = 60_000,
+)
