--- a/node/src/main/kotlin/ragwortbarrow/node/http/CallerApi.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/http/CallerApi.kt
@@ -41,6 +41,7 @@
         val reason = when {
             parts.drain.isDraining -> "draining"
             parts.configuration.current == null -> "no configuration"
+            !parts.keysLoaded() -> "no keys"
             else -> null
         }
         val status = if (reason == null) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
--- a/node/src/main/kotlin/ragwortbarrow/node/http/CallerParts.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/http/CallerParts.kt
@@ -21,6 +21,8 @@
     val metrics: NodeMetrics,
     val timer: TimerService,
     val log: DecisionLog,
+    /** Whether keys can be checked; until then the node is not ready. */
+    val keysLoaded: () -> Boolean = { true },
     val bodyLimitBytes: Int? = null,
     val fileLimitBytes: Long = 64_000_000,
     val requestTimeoutMillis: Long = 60_000,
--- a/node/src/main/kotlin/ragwortbarrow/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/metrics/NodeMetrics.kt
@@ -3,56 +3,96 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
+import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import ragwortbarrow.core.config.ConfigurationView
 import ragwortbarrow.core.error.ResultCode
+import ragwortbarrow.core.limits.LimitService
+import ragwortbarrow.core.membership.MemberView
+import ragwortbarrow.core.routing.RoutedOnlineService
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.node.drain.Drain
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
-/** The metrics of a node; `docs/metrics.md` lists them. */
+/** The metrics of a node; `docs/metrics.md` lists them, and a test compares the two. */
 class NodeMetrics(val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)) {
-    /** Counts one finished request; its time runs from the first byte read to the last byte written. */
+    private val requests = ConcurrentHashMap<Pair<String, Int>, Timer>()
+    private val refusals = ConcurrentHashMap<ResultCode, Counter>()
+    private val platformCalls = ConcurrentHashMap<Triple<String, ObjectKind, String>, Timer>()
+    private val firstEvent = timer("first.event", "Time from a request to the first event of its stream")
+
+    init {
+        JvmMemoryMetrics().bindTo(registry)
+        JvmGcMetrics().bindTo(registry)
+        ProcessorMetrics().bindTo(registry)
+    }
+
+    /** Counts one finished request; its time runs from its headers to the last byte of the answer. */
     fun requestFinished(route: String, status: Int, nanos: Long) {
-        Timer.builder("ragwortbarrow.request")
-            .description("Time of callers' requests by route and status")
-            .tag("route", route)
-            .tag("status", status.toString())
-            .publishPercentileHistogram(false)
-            .serviceLevelObjectives(*BUCKETS)
-            .register(registry)
-            .record(nanos, TimeUnit.NANOSECONDS)
+        requests.computeIfAbsent(route to status) {
+            timer("request", "Time of callers' requests", "route" to route, "status" to status.toString())
+        }.record(nanos, TimeUnit.NANOSECONDS)
     }
 
     /** Counts one refusal or failure that a caller was told of. */
-    fun refused(code: ResultCode) = counter("refusals", "Refusals and failures by result code", "code" to code.name)
-
-    fun firstEvent(nanos: Long) {
-        Timer.builder("ragwortbarrow.first.event")
-            .description("Time from a request to the first event of its stream")
-            .serviceLevelObjectives(*BUCKETS)
-            .register(registry)
-            .record(nanos, TimeUnit.NANOSECONDS)
+    fun refused(code: ResultCode) {
+        refusals.computeIfAbsent(code) {
+            Counter.builder("ragwortbarrow.refusals")
+                .description("Refusals and failures that callers were told of")
+                .tag("code", it.name)
+                .register(registry)
+        }.increment()
     }
 
-    fun counter(name: String, description: String, vararg tags: Pair<String, String>) {
-        Counter.builder("ragwortbarrow.$name")
-            .description(description)
-            .apply { tags.forEach { (key, value) -> tag(key, value) } }
-            .register(registry)
-            .increment()
+    fun firstEvent(nanos: Long): Unit = firstEvent.record(nanos, TimeUnit.NANOSECONDS)
+
+    /** Counts one call to the platform's object API. */
+    fun platformCalled(verb: String, kind: ObjectKind, outcome: String, durationNanos: Long) {
+        platformCalls.computeIfAbsent(Triple(verb, kind, outcome)) {
+            timer("platform.call", "Calls to the platform", "verb" to verb, "kind" to kind.path, "outcome" to outcome)
+        }.record(durationNanos, TimeUnit.NANOSECONDS)
     }
 
-    fun gauge(name: String, description: String, vararg tags: Pair<String, String>, value: () -> Number) {
-        Gauge.builder("ragwortbarrow.$name", value)
-            .description(description)
-            .apply { tags.forEach { (key, tag) -> tag(key, tag) } }
-            .register(registry)
+    /** Shows the state of the parts as gauges. */
+    fun observe(
+        members: MemberView,
+        configuration: ConfigurationView,
+        limits: LimitService,
+        online: RoutedOnlineService,
+        drain: Drain,
+    ) {
+        gauge("members.live", "Nodes whose heartbeat moves, this one included") { members.live().size }
+        gauge("platform.age.seconds", "Time since the platform was heard of, -1 if never") {
+            members.platformAgeMillis()?.let { it / 1_000.0 } ?: -1.0
+        }
+        gauge("configuration.version", "Version in force, 0 if none") { configuration.current?.version ?: 0 }
+        gauge("limit.shards.owned", "Limit shards that this node owns") { limits.ownedShards.size }
+        gauge("requests.in.flight", "Requests of callers that are being served") { drain.inFlight }
+        gauge("requests.waiting", "Requests that wait for a slot on a backend server") { online.waiting() }
+        gauge("draining", "1 from the start of a graceful shutdown") { if (drain.isDraining) 1 else 0 }
     }
 
     fun scrape(): String = registry.scrape()
 
+    private fun gauge(name: String, description: String, value: () -> Number) {
+        Gauge.builder("ragwortbarrow.$name", value).description(description).register(registry)
+    }
+
+    private fun timer(name: String, description: String, vararg tags: Pair<String, String>): Timer =
+        Timer.builder("ragwortbarrow.$name")
+            .description(description)
+            .apply { tags.forEach { (key, value) -> tag(key, value) } }
+            .serviceLevelObjectives(*BUCKETS)
+            .register(registry)
+
     private companion object {
-        val BUCKETS: Array<java.time.Duration> =
+        val BUCKETS: Array<Duration> =
             longArrayOf(1, 2, 5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 30_000)
-                .map { java.time.Duration.ofMillis(it) }.toTypedArray()
+                .map { Duration.ofMillis(it) }.toTypedArray()
     }
 }
--- a/node/src/main/kotlin/ragwortbarrow/node/settings/HostAndPort.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/settings/HostAndPort.kt
@@ -14,7 +14,7 @@
             val host = text.substringBeforeLast(':').removeSurrounding("[", "]")
             val port = text.substringAfterLast(':').toIntOrNull() ?: return null
             if (!NetUtil.isValidIpV4Address(host) && !NetUtil.isValidIpV6Address(host)) return null
-            return HostAndPort(host, port).takeIf { port in 0..65_535 }
+            return HostAndPort(host, port).takeIf { port in 1..65_535 }
         }
     }
 }
