Run scripted scenarios over separate processes

Cause: the promises have to be proved under kills, freezes, cuts and outages, and no test ran real processes. Ruled out: network namespaces, because isolation tools stay out; a relay in the runner stands for each link instead.

--- a/node/src/main/kotlin/ragwortbarrow/node/Node.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Node.kt
@@ -21,6 +21,7 @@
 import ragwortbarrow.core.membership.VmLeaseKeeper
 import ragwortbarrow.core.membership.VmList
 import ragwortbarrow.core.peer.MemberInfo
+import ragwortbarrow.core.peer.PeerConnector
 import ragwortbarrow.core.routing.RoutedOnlineService
 import ragwortbarrow.core.store.SafeWriter
 import ragwortbarrow.node.drain.Drain
@@ -59,7 +60,8 @@
     )
     private val store = HttpObjectStore(baseUrl = settings.platformUrl, listener = metrics::platformCalled)
     private val writer = SafeWriter(store = store, timer = timer, writer = "${self.vm}/${self.incarnation}")
-    private val connector = GrpcPeerConnector(tls = settings.peerTls)
+    private val channels = GrpcPeerConnector(tls = settings.peerTls)
+    private val connector = PeerConnector { address -> channels.connect(settings.peerRoutes[address] ?: address) }
     private val configuration = ConfigurationHolder(decisionLog = log)
     private val vmList = VmList(store = store, timer = timer, scope = scope, decisionLog = log)
     private val members: Members = Members(
@@ -189,7 +191,9 @@
         online.start()
         loadPoller.start()
         batch.start()
-        timer.every(CONNECTION_CHECK_MILLIS) { connector.retain(members.addresses()) }
+        timer.every(CONNECTION_CHECK_MILLIS) {
+            channels.retain(members.addresses().map { settings.peerRoutes[it] ?: it }.toSet())
+        }
         log.record(
             "node_started",
             "vm" to self.vm,
@@ -223,7 +227,7 @@
         httpServer.stop()
         peerServer.stop()
         scope.cancel()
-        connector.close()
+        channels.close()
         client.close()
         store.close()
         timer.close()
--- a/node/src/main/kotlin/ragwortbarrow/node/settings/NodeCommand.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/settings/NodeCommand.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.options.RawOption
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.options.versionOption
@@ -48,6 +49,16 @@
         .long().default(60_000)
     private val logLevel by setting("log-level", "Least severe level that is logged.")
         .choice("trace", "debug", "info", "warn", "error").default("info")
+    private val peerRoutes by setting(
+        "peer-route",
+        "ADVERTISED=ACTUAL: address to use for a node's advertised one, where links translate addresses. Repeatable.",
+    ).convert { text ->
+        val (advertised, actual) = text.split('=').takeIf { it.size == 2 } ?: fail("'$text' is not ADVERTISED=ACTUAL")
+        if (HostAndPort.parse(advertised) == null || HostAndPort.parse(actual) == null) {
+            fail("'$text' does not consist of two IP numbers with ports")
+        }
+        advertised to actual
+    }.multiple()
     private val tlsCertificate by setting("peer-tls-certificate", "PEM file of this node's certificate chain.")
         .path(mustExist = true, canBeDir = false)
     private val tlsKey by setting("peer-tls-key", "PEM file of this node's PKCS#8 key.")
@@ -84,6 +95,7 @@
                 requestTimeoutMillis = requestTimeoutMillis,
                 logLevel = logLevel,
                 peerTls = peerTls(),
+                peerRoutes = peerRoutes.toMap(),
             ),
         )
     }
--- a/node/src/main/kotlin/ragwortbarrow/node/settings/Settings.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/settings/Settings.kt
@@ -22,4 +22,5 @@
     val requestTimeoutMillis: Long = 60_000,
     val logLevel: String = "info",
     val peerTls: PeerTls? = null,
+    val peerRoutes: Map<String, String> = emptyMap(),
 )
--- a/scenarios/src/test/kotlin/ragwortbarrow/scenarios/Scenario.kt
+++ b/scenarios/src/test/kotlin/ragwortbarrow/scenarios/Scenario.kt
@@ -77,6 +77,7 @@
 @Serializable
 data class EngineFault(val server: String, val settings: Map<String, String>)
 
+/** Requests at a fixed rate over [nodes] in turn; with [balanced] only over those that report ready. */
 @Serializable
 data class Send(
     val name: String,
@@ -87,6 +88,7 @@
     val kind: CallKind = CallKind.WHOLE,
     val service: String? = null,
     val background: Boolean = false,
+    val balanced: Boolean = false,
 )
 
 @Serializable
@@ -103,7 +105,7 @@
     val version: Long? = null,
     val sent: SentExpectation? = null,
     val job: JobExpectation? = null,
-    val keyRefused: KeyRefused? = null,
+    val keyAnswers: KeyAnswers? = null,
     val runsAtMostOnce: List<String>? = null,
     val noKeySeen: Boolean? = null,
     val noNewWork: String? = null,
@@ -126,8 +128,9 @@
 @Serializable
 data class JobExpectation(val name: String, val state: String, val completed: Int? = null, val failed: Int? = null)
 
+/** Requests with [key] get [status] on each of [nodes]: 401 withdrawn, 503 too old to be known as valid, 200 served. */
 @Serializable
-data class KeyRefused(val key: String, val nodes: List<String>)
+data class KeyAnswers(val key: String, val nodes: List<String>, val status: Int)
 
 /** Reads a scenario; an unknown field or a wrong type is an error that names its line. */
 internal fun parseScenario(text: String): Scenario = Yaml.default.decodeFromString(Scenario.serializer(), text)
--- /dev/null
+++ b/scenarios/src/test/kotlin/ragwortbarrow/scenarios/ScenarioTest.kt
@@ -0,0 +1,31 @@
+package ragwortbarrow.scenarios
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.extension
+import kotlin.io.path.nameWithoutExtension
+import kotlin.io.path.readText
+
+/** Runs every scenario of the folder `scenarios`; `-Dscenario=NAME` runs one. */
+class ScenarioTest {
+    @TestFactory
+    fun `every scenario holds`(): List<DynamicTest> {
+        val only = System.getProperty("scenario")
+        return Files.list(Path.of("src", "test", "resources", "scenarios")).use { files ->
+            files.filter { it.extension == "yaml" && (only == null || it.nameWithoutExtension == only) }
+                .sorted()
+                .map { file -> DynamicTest.dynamicTest(file.nameWithoutExtension) { runScenario(file) } }
+                .toList()
+        }
+    }
+}
+
+/** Runs one scenario in a folder of its own that keeps the logs of its processes. */
+internal fun runScenario(file: Path) {
+    val folder = Path.of("target", "scenarios", file.nameWithoutExtension)
+    Files.createDirectories(folder)
+    Files.list(folder).use { old -> old.forEach(Files::delete) }
+    ScenarioRunner(parseScenario(file.readText()), folder).use { it.run() }
+}
--- a/scenarios/src/test/kotlin/ragwortbarrow/scenarios/ServerProcess.kt
+++ b/scenarios/src/test/kotlin/ragwortbarrow/scenarios/ServerProcess.kt
@@ -19,9 +19,8 @@
 
     fun start() {
         check(!isAlive) { "$name runs already" }
-        val command = listOf(javaBinary) + jvmFlags + listOf("-cp", classPath, mainClass) + arguments
         val log = folder.resolve("$name.log").toFile()
-        process = ProcessBuilder(command)
+        process = command(mainClass, arguments)
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
             .start()
@@ -55,6 +54,10 @@
         // Surefire may start tests from a jar that only refers to the real class path.
         private val classPath = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
 
+        /** A process that runs [mainClass] from the class path of the tests. */
+        fun command(mainClass: String, arguments: List<String>): ProcessBuilder =
+            ProcessBuilder(listOf(javaBinary) + jvmFlags + listOf("-cp", classPath, mainClass) + arguments)
+
         fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
         fun tail(file: File, lines: Int = 20): String =
--- a/standins/src/main/kotlin/ragwortbarrow/standins/engine/EngineText.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/engine/EngineText.kt
@@ -4,7 +4,7 @@
 import kotlin.random.Random
 
 /** The text that the stand-in generates: the same prompt always gives the same tokens. */
-internal object EngineText {
+object EngineText {
     private val words = listOf(
         "heri", "ya", "siku", "kuzaliwa", "happy", "birthday", "warm", "wishes", "loop", "pile", "jute", "backing",
         "remnant", "hall", "ivory", "stair", "runner", "badge", "karibu", "furaha", "gold", "trim", "hongera", "rafiki",
