--- a/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
@@ -116,7 +116,7 @@
         val parts = HashMap<String, ConfigurationPart>()
         fun missing() = head.parts.map { it.sha256 }.distinct().filter { it !in parts && holder.part(it) == null }
         for (peer in peers) {
-            missing().chunked(partsPerCall).forEach { digests -> takeFromPeer(peer, digests, parts) }
+            missing().chunked(partsPerCall).all { digests -> takeFromPeer(peer, digests, parts) }
         }
         missing().forEach { digest -> takeFromPlatform(digest)?.let { parts[digest] = it } }
         val stillMissing = missing()
@@ -128,14 +128,19 @@
         true
     }
 
+    /** Returns false if the peer cannot be asked. */
     private suspend fun takeFromPeer(
         peer: MemberInfo,
         digests: List<String>,
         parts: MutableMap<String, ConfigurationPart>,
-    ) {
-        connector.connect(peer.peerAddress).fetchParts(digests).getOrElse { emptyList() }
-            .filter { it.sha256 in digests && it.hasItsDigest() }
-            .forEach { parts[it.sha256] = it }
+    ): Boolean {
+        val reply = connector.connect(peer.peerAddress).fetchParts(digests).getOrElse { error ->
+            decisionLog.record("configuration_parts_failed", "peer" to peer.vm, "reason" to error.message)
+            // Many large parts may exceed what one call carries.
+            return digests.size > 1 && digests.all { takeFromPeer(peer, listOf(it), parts) }
+        }
+        reply.filter { it.sha256 in digests && it.hasItsDigest() }.forEach { parts[it.sha256] = it }
+        return true
     }
 
     private suspend fun takeFromPlatform(digest: String): ConfigurationPart? =
--- a/core/src/main/kotlin/ragwortbarrow/core/config/ManifestParts.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/config/ManifestParts.kt
@@ -52,13 +52,16 @@
 private const val BACKEND_SERVERS_PREFIX = "backendservers-"
 
 /** Cuts this manifest into parts; the same content gives the same parts in any order of its lists. */
-fun Manifest.cutIntoParts(): ManifestParts {
+fun Manifest.cutIntoParts(
+    customerParts: Int = CUSTOMER_PART_COUNT,
+    backendServerParts: Int = BACKEND_SERVER_PART_COUNT,
+): ManifestParts {
     val texts = sortedMapOf(FLEET_PART to partJson.encodeToString(FleetPart(name, fleet, models, services)))
     customers.sortedBy { it.id.value }
-        .groupBy { partName(CUSTOMERS_PREFIX, it.id.value, CUSTOMER_PART_COUNT) }
+        .groupBy { partName(CUSTOMERS_PREFIX, it.id.value, customerParts) }
         .mapValuesTo(texts) { (_, customers) -> partJson.encodeToString(CustomersPart(customers)) }
     backendServers.sortedBy { it.id.value }
-        .groupBy { partName(BACKEND_SERVERS_PREFIX, it.id.value, BACKEND_SERVER_PART_COUNT) }
+        .groupBy { partName(BACKEND_SERVERS_PREFIX, it.id.value, backendServerParts) }
         .mapValuesTo(texts) { (_, servers) -> partJson.encodeToString(BackendServersPart(servers)) }
     val parts = texts.mapValues { (_, text) -> ConfigurationPart(sha256Hex(text), text) }
     return ManifestParts(
