Slow down starts and retries, fetch parts side by side, find nodes in an outage

A node that has just started knows no other member, so every node of a restarted fleet would have taken itself for a watcher and read 193 parts; watchers now wait 1.5 s for gossip. Lease renewals back off to 5 s, because 410 nodes that retry every second come close to the platform's write rate when it returns. Parts are read 16 at a time.

key withdraw asks the nodes that the operator names for their members when the platform is down.

--- a/cli/src/main/kotlin/ragwortbarrow/cli/KeyWithdrawal.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/KeyWithdrawal.kt
@@ -14,7 +14,9 @@
 import kotlinx.serialization.json.contentOrNull
 import ragwortbarrow.core.ids.KeyId
 import ragwortbarrow.core.keys.KeyObjects
+import ragwortbarrow.core.peer.GossipMessage
 import ragwortbarrow.core.peer.KeyUpdate
+import ragwortbarrow.core.peer.MemberInfo
 import ragwortbarrow.core.peer.PeerConnector
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.ObjectStore
@@ -45,7 +47,7 @@
     suspend fun withdraw(id: KeyId, extraNodes: List<String> = emptyList()): WithdrawalReport = coroutineScope {
         val tombstone = async { createTombstone(id) }
         val listed = nodeAddresses()
-        val addresses = listed.getOrElse { emptyMap() } + extraNodes.associateBy { it }
+        val addresses = listed.getOrElse { discover(extraNodes) } + extraNodes.associateBy { it }
         val outcomes = addresses.map { (name, address) ->
             async { name to if (address.isEmpty()) "its address is not known" else tell(address, id) }
         }.awaitAll()
@@ -57,6 +59,34 @@
         )
     }
 
+    /**
+     * Asks the [seeds] and every node found on the way for their members. Each answer names only some members, so the
+     * result may lack nodes and does not make a withdrawal complete.
+     */
+    private suspend fun discover(seeds: List<String>): Map<String, String> = coroutineScope {
+        val found = HashMap<String, String>()
+        val asked = HashSet<String>()
+        var next = seeds
+        while (next.isNotEmpty()) {
+            asked += next
+            next.map { address -> async { membersKnownTo(address) } }.awaitAll().flatten()
+                .forEach { found[it.vm.value] = it.peerAddress }
+            next = found.values.filter { it !in asked }
+        }
+        found.filterValues { it !in seeds }
+    }
+
+    private suspend fun membersKnownTo(address: String): List<MemberInfo> = try {
+        withTimeoutOrNull(nodeTimeoutMillis) {
+            connector.connect(address).exchange(GossipMessage(members = emptyList())).getOrElse { null }?.members
+        }.orEmpty()
+    } catch (failure: CancellationException) {
+        throw failure
+    } catch (failure: Exception) {
+        // The node is named as unconfirmed when the withdrawal itself cannot reach it.
+        emptyList()
+    }
+
     private suspend fun createTombstone(id: KeyId): String? =
         writer.create(ObjectKind.KEY_TOMBSTONES, id.value, KeyObjects.tombstoneSpec).fold(
             { null },
--- a/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
@@ -6,7 +6,10 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -118,7 +121,10 @@
         for (peer in peers) {
             missing().chunked(partsPerCall).all { digests -> takeFromPeer(peer, digests, parts) }
         }
-        missing().forEach { digest -> takeFromPlatform(digest)?.let { parts[digest] = it } }
+        for (digests in missing().chunked(partsPerCall)) {
+            val taken = coroutineScope { digests.map { async { takeFromPlatform(it) } }.awaitAll() }
+            taken.filterNotNull().associateByTo(parts) { it.sha256 }
+        }
         val stillMissing = missing()
         if (stillMissing.isNotEmpty()) {
             decisionLog.record("configuration_parts_missing", "version" to head.version, "count" to stillMissing.size)
--- a/core/src/main/kotlin/ragwortbarrow/core/membership/VmLeaseKeeper.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/membership/VmLeaseKeeper.kt
@@ -41,6 +41,7 @@
     private val renewMillis: Long = 10_000,
     private val marginMillis: Long = 1_000,
     private val retryMillis: Long = 1_000,
+    private val maxRetryMillis: Long = 5_000,
     private val random: Random = Random.Default,
 ) {
     private var job: Job? = null
@@ -75,13 +76,17 @@
     }
 
     private suspend fun run() {
+        var backoffMillis = retryMillis
         while (true) {
             val delayMillis = renew().fold(
-                { renewMillis },
+                { renewMillis.also { backoffMillis = retryMillis } },
                 { error ->
                     decisionLog.record("vm_lease_not_renewed", "reason" to error.message)
                     if (error is Reason.Superseded) return
-                    retryMillis / 2 + random.nextLong(retryMillis)
+                    // All nodes retry when the platform comes back, so they grow apart and slow down.
+                    (backoffMillis / 2 + random.nextLong(backoffMillis)).also {
+                        backoffMillis = minOf(backoffMillis * 2, maxRetryMillis)
+                    }
                 },
             )
             timer.pause(delayMillis)
--- a/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
@@ -31,6 +31,8 @@
     private val listed: suspend (List<StoredObject>) -> Unit = { objects -> objects.forEach { changed(it) } },
     private val confirmed: suspend (askedAtNanos: Long) -> Unit = {},
     private val decisionLog: DecisionLog = DecisionLog.NONE,
+    /** A node that has just started knows no other member yet and would always be elected. */
+    private val startDelayMillis: Long = 1_500,
     private val checkMillis: Long = 500,
     private val confirmMillis: Long = 2_000,
     private val retryMillis: Long = 500,
@@ -50,6 +52,7 @@
     }
 
     private suspend fun run() {
+        timer.pause(startDelayMillis)
         while (true) {
             if (elected()) {
                 val reason = runCatching { pass() }
--- a/core/src/test/kotlin/ragwortbarrow/core/membership/VmLeaseKeeperTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/membership/VmLeaseKeeperTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.unwrap
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
@@ -55,7 +56,7 @@
         run(1_500)
         expectThat(keeper.isHeld()).isFalse()
         faults.outage = false
-        run(2_000)
+        run(8_000)
         expectThat(keeper.isHeld()).isTrue()
     }
 
@@ -99,6 +100,7 @@
 
     private suspend fun lease() = VmLease.of(store.get(ObjectKind.VM_LEASES, "vm-1").unwrap())
 
+    @OptIn(ExperimentalCoroutinesApi::class)
     private fun TestScope.run(millis: Long) {
         runCurrent()
         repeat((millis / 100).toInt()) {
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/store/KindWatcherTest.kt
@@ -0,0 +1,80 @@
+package ragwortbarrow.core.store
+
+import com.github.michaelbull.result.unwrap
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.onEach
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonObject
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.time.ManualTimerService
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import kotlin.random.Random
+
+/** Guards against a node that believes in a watch which is open but delivers nothing. */
+class KindWatcherTest {
+    private val timer = ManualTimerService()
+    private val memory = MemoryObjectStore()
+    private val silent = MutableStateFlow(false)
+    private val seen = mutableSetOf<String>()
+    private var confirmations = 0
+    private val kind = ObjectKind.KEY_TOMBSTONES
+
+    @Test
+    fun `a silent watch does not count as confirmed and is replaced`() = runTest {
+        start()
+        run(3_000)
+        silent.value = true
+        memory.create(kind, "k1", JsonObject(emptyMap())).unwrap()
+        val before = confirmations
+        run(2_000)
+        expectThat(confirmations).isEqualTo(before)
+        run(4_000)
+        expectThat(seen).contains("k1")
+        expectThat(confirmations).isGreaterThan(before)
+    }
+
+    @Test
+    fun `a node that is no longer elected makes no calls`() = runTest {
+        var elected = true
+        start { elected }
+        run(3_000)
+        elected = false
+        run(1_000)
+        val before = memory.calls
+        run(10_000)
+        expectThat(memory.calls).isEqualTo(before)
+    }
+
+    private fun TestScope.start(elected: () -> Boolean = { true }) = KindWatcher(
+        kind = kind,
+        store = SilenceableWatches(),
+        timer = timer,
+        scope = backgroundScope,
+        elected = elected,
+        changed = { seen += it.name },
+        confirmed = { confirmations++ },
+        random = Random(1),
+    ).start()
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun TestScope.run(millis: Long) {
+        runCurrent()
+        repeat((millis / 100).toInt()) {
+            timer.advance(100)
+            runCurrent()
+        }
+    }
+
+    private inner class SilenceableWatches : ObjectStore by memory {
+        override fun watch(kind: ObjectKind, fromVersion: Long, metadataOnly: Boolean): Flow<WatchEvent> =
+            memory.watch(kind, fromVersion, metadataOnly).onEach { silent.first { !it } }
+    }
+}
