Choose two servers among those with free slots instead of the least loaded one

When the lower of two looked full, every node went to the same least loaded server until the next report. Change: the second step is again a choice of two, among the servers with free slots.

--- a/core/src/main/kotlin/ragwortbarrow/core/routing/Router.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/routing/Router.kt
@@ -42,7 +42,7 @@
 }
 
 /** Why a server was chosen. */
-enum class RouteReason { PREFIX, LOWER_OF_TWO, LEAST_LOADED, ENGINE_QUEUE }
+enum class RouteReason { PREFIX, LOWER_OF_TWO, FREE_SLOT, ENGINE_QUEUE }
 
 /**
  * Chooses a backend server. Decisions read immutable snapshots and atomic counters, and perform no I/O.
@@ -90,7 +90,7 @@
     private fun chooseAmong(candidates: List<BackendServer>, request: RouteRequest): RouteDecision =
         preferred(candidates, request.prefix)?.let { take(it, it.slots, RouteReason.PREFIX) }
             ?: lowerOfTwo(candidates).let { take(it, it.slots, RouteReason.LOWER_OF_TWO) }
-            ?: leastLoaded(candidates)
+            ?: amongFree(candidates)
 
     private fun preferred(candidates: List<BackendServer>, prefix: String): BackendServer? {
         if (prefix.isEmpty()) return null
@@ -109,14 +109,25 @@
         return if (loads.estimate(second.id) < loads.estimate(first.id)) second else first
     }
 
-    private fun leastLoaded(candidates: List<BackendServer>): RouteDecision {
-        val ranked = candidates.map { it to loads.estimate(it.id) - it.slots }.sortedBy { it.second }.map { it.first }
-        ranked.forEach { server -> take(server, server.slots, RouteReason.LEAST_LOADED)?.let { return it } }
-        loads.reportFull(ranked.first().id)
-        ranked.forEach { server ->
-            take(server, server.slots + queueAhead, RouteReason.ENGINE_QUEUE)?.let { return it }
+    /**
+     * Two choices among the servers with free slots, or else among those with room to wait. The least loaded server of
+     * all would be the same one for every node until the next report, and attract a burst from all of them.
+     */
+    private fun amongFree(candidates: List<BackendServer>): RouteDecision {
+        takeWithin(candidates, 0, RouteReason.FREE_SLOT)?.let { return it }
+        val wanted = lowerOfTwo(candidates)
+        loads.reportFull(wanted.id)
+        return takeWithin(candidates, queueAhead, RouteReason.ENGINE_QUEUE) ?: RouteDecision.AllFull(wanted)
+    }
+
+    private fun takeWithin(candidates: List<BackendServer>, extra: Int, reason: RouteReason): RouteDecision? {
+        var rest = candidates.filter { loads.estimate(it.id) < it.slots + extra }
+        while (rest.isNotEmpty()) {
+            val server = lowerOfTwo(rest)
+            take(server, server.slots + extra, reason)?.let { return it }
+            rest = rest - server
         }
-        return RouteDecision.AllFull(ranked.first())
+        return null
     }
 
     private fun take(server: BackendServer, limit: Int, reason: RouteReason): RouteDecision? {
