Check batch invariants under random kills, freezes and lost replies

Random schedules with fixed seeds kill, freeze and restart nodes between any two steps while the platform is slow, away or loses replies. 40 tries each hold: one unchanging result an item, nothing recorded after a job is cancelled, items that may not be repeated start at most once. Taking away conditional updates or start records breaks the same checks.

--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/BatchInvariantsTest.kt
@@ -0,0 +1,115 @@
+package ragwortbarrow.core.batch
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.ShrinkingMode
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.ids.VmId
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import kotlin.random.Random
+
+/**
+ * Guards exactly-once results, cancellation and the single start of items that may not be repeated, while nodes are
+ * killed and frozen between any two steps and the platform fails. Each guard is also taken away once, to show that the
+ * same schedules then break what they check.
+ */
+class BatchInvariantsTest {
+    private val ids = (1..260).map { "item-$it" }
+
+    @Property(tries = 40, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    fun `every item of a completed job has exactly one result that never changes`(@ForAll seed: Long) {
+        expectThat(brokenCompletion(seed, StoreVariant.FAITHFUL)).isEqualTo(null)
+    }
+
+    @Property(tries = 40, seed = "20261205", shrinking = ShrinkingMode.OFF)
+    fun `nothing is recorded after a job is cancelled`(@ForAll seed: Long) {
+        expectThat(brokenCancellation(seed, StoreVariant.FAITHFUL)).isEqualTo(null)
+    }
+
+    @Property(tries = 40, seed = "20261206", shrinking = ShrinkingMode.OFF)
+    fun `an item that may not be repeated starts at most once and has one result`(@ForAll seed: Long) {
+        expectThat(brokenSingleStart(seed, StoreVariant.FAITHFUL)).isEqualTo(null)
+    }
+
+    @Test
+    fun `without conditional updates recorded results change`() {
+        expectThat(firstBroken { brokenCompletion(it, StoreVariant.UNCONDITIONAL) }).isNotNull()
+    }
+
+    @Test
+    fun `without conditional updates results are recorded after a job is cancelled`() {
+        expectThat(firstBroken { brokenCancellation(it, StoreVariant.UNCONDITIONAL) }).isNotNull()
+    }
+
+    @Test
+    fun `without start records items that may not be repeated start twice`() {
+        expectThat(firstBroken { brokenSingleStart(it, StoreVariant.NO_START_RECORDS) }).isNotNull()
+    }
+
+    /** The first fault that one of some schedules shows; one that never ends is a fault as well. */
+    private fun firstBroken(run: (Long) -> String?): String? = (1L..30L).firstNotNullOfOrNull { seed ->
+        runCatching { run(seed) }.getOrElse { it.message }
+    }
+
+    private fun fleet(seed: Long, variant: StoreVariant): SimulatedFleet {
+        val random = Random(seed)
+        return SimulatedFleet(variant = variant) { random.nextLong(200, 6_000) }
+    }
+
+    private fun brokenCompletion(seed: Long, variant: StoreVariant): String? {
+        val fleet = fleet(seed, variant)
+        val job = fleet.submit(ids)
+        val watched = RecordedResults(fleet)
+        FaultSchedule(fleet, seed).run()
+        fleet.awaitState(job.id, JobState.COMPLETED, LIMIT_MILLIS)
+        fleet.timer.advance(60_000)
+        val listed = fleet.output(job.id).map { it.first }
+        return watched.broken() ?: "output $listed".takeIf { listed != ids }
+    }
+
+    private fun brokenCancellation(seed: Long, variant: StoreVariant): String? {
+        val fleet = fleet(seed, variant)
+        val job = fleet.submit(ids)
+        val random = Random(seed)
+        FaultSchedule(fleet, seed).run(random.nextLong(1_000, 30_000))
+        val canceller = fleet.add(VmId("vm-9"), 1)
+        val cancelled = fleet.await { canceller.runtime.service.cancelJob(PRINTER, job.id) }
+        if (cancelled.isErr) return null
+        FaultSchedule(fleet, seed + 1).run(30_000)
+        fleet.awaitState(job.id, JobState.CANCELLED, LIMIT_MILLIS)
+        val atCancel = fleet.output(job.id)
+        val counted = fleet.job(job.id).completedItems
+        FaultSchedule(fleet, seed + 2).run(30_000)
+        fleet.timer.advance(60_000)
+        val later = fleet.output(job.id)
+        val duplicates = later.groupingBy { it.first }.eachCount().filterValues { it > 1 }
+        return when {
+            later != atCancel -> "${later.size} results, ${atCancel.size} when it was cancelled"
+            counted != later.size -> "$counted counted, ${later.size} recorded"
+            fleet.engines.totalRunning() > 0 -> "items still run"
+            duplicates.isNotEmpty() -> "duplicates $duplicates"
+            else -> null
+        }
+    }
+
+    private fun brokenSingleStart(seed: Long, variant: StoreVariant): String? {
+        val fleet = fleet(seed, variant)
+        val job = fleet.submit(ids, LABELS)
+        FaultSchedule(fleet, seed).run()
+        fleet.awaitState(job.id, JobState.COMPLETED, LIMIT_MILLIS)
+        val repeated = fleet.engines.starts.filterValues { it > 1 }
+        val listed = fleet.output(job.id).map { it.first }
+        return when {
+            repeated.isNotEmpty() -> "repeated $repeated"
+            listed != ids -> "output $listed"
+            else -> null
+        }
+    }
+
+    private companion object {
+        /** Generous: a chunk that lost several holders goes on with one item at a time. */
+        const val LIMIT_MILLIS = 7_200_000L
+    }
+}
--- a/core/src/test/kotlin/ragwortbarrow/core/batch/SimulatedFleet.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/SimulatedFleet.kt
@@ -43,10 +43,12 @@
     val settings: BatchSettings = BatchSettings(),
     var faults: StoreFaults = StoreFaults.NONE,
     slots: Int = 8,
+    variant: StoreVariant = StoreVariant.FAITHFUL,
     engineMillis: (String) -> Long = { 1_000 },
 ) : ConfigurationView {
     val timer = ManualTimerService()
     val store = MemoryObjectStore({ operation, kind, name -> faults.before(operation, kind, name) })
+    val platform = variant.wrap(store)
     val engines = FakeEngines(timer, engineMillis)
     val scope = CoroutineScope(Dispatchers.Unconfined + SupervisorJob())
     private val manifest = Manifest(
--- a/core/src/test/kotlin/ragwortbarrow/core/batch/SimulatedNode.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/SimulatedNode.kt
@@ -108,7 +108,7 @@
     }
 
     private inner class GatedStore : ObjectStore {
-        override suspend fun get(kind: ObjectKind, name: String) = gated { fleet.store.get(kind, name) }
+        override suspend fun get(kind: ObjectKind, name: String) = gated { fleet.platform.get(kind, name) }
 
         override suspend fun list(
             kind: ObjectKind,
@@ -116,14 +116,16 @@
             limit: Int,
             continueToken: String?,
             metadataOnly: Boolean,
-        ): Result<ObjectPage, StoreError> = gated { fleet.store.list(kind, labels, limit, continueToken, metadataOnly) }
+        ): Result<ObjectPage, StoreError> = gated {
+            fleet.platform.list(kind, labels, limit, continueToken, metadataOnly)
+        }
 
         override suspend fun create(
             kind: ObjectKind,
             name: String,
             spec: JsonObject,
             labels: Map<String, String>,
-        ): Result<StoredObject, StoreError> = gated { fleet.store.create(kind, name, spec, labels) }
+        ): Result<StoredObject, StoreError> = gated { fleet.platform.create(kind, name, spec, labels) }
 
         override suspend fun update(
             kind: ObjectKind,
@@ -131,14 +133,14 @@
             expectedVersion: Long,
             spec: JsonObject,
             labels: Map<String, String>,
-        ): Result<StoredObject, StoreError> = gated { fleet.store.update(kind, name, expectedVersion, spec, labels) }
+        ): Result<StoredObject, StoreError> = gated { fleet.platform.update(kind, name, expectedVersion, spec, labels) }
 
         override suspend fun delete(kind: ObjectKind, name: String, expectedVersion: Long) =
-            gated { fleet.store.delete(kind, name, expectedVersion) }
+            gated { fleet.platform.delete(kind, name, expectedVersion) }
 
         override fun watch(kind: ObjectKind, fromVersion: Long, metadataOnly: Boolean): Flow<WatchEvent> = flow {
             pass()
-            fleet.store.watch(kind, fromVersion, metadataOnly).collect {
+            fleet.platform.watch(kind, fromVersion, metadataOnly).collect {
                 pass()
                 emit(it)
             }
