--- a/core/src/main/kotlin/ragwortbarrow/core/limits/Borrower.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/Borrower.kt
@@ -7,6 +7,8 @@
 import ragwortbarrow.core.ids.CustomerId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.lease.withDeadline
+import ragwortbarrow.core.limits.OwnedShard.Companion.MAX_AMOUNT
+import ragwortbarrow.core.limits.OwnedShard.Companion.TOKEN_MILLITOKENS
 import ragwortbarrow.core.peer.AcquireItem
 import ragwortbarrow.core.peer.AcquireRequest
 import ragwortbarrow.core.peer.LimitShardId
@@ -21,6 +23,9 @@
  * a time; those that wait share the next one. Lenders are asked for thousandths of tokens, since fractions spread over
  * several accounts add up to a token. After a borrow that found too little, the account borrows nothing for a short
  * while, so that a customer far over its rate causes no flood of messages.
+ *
+ * A lender that has more than is needed is asked for half of the rest too, which [keep] puts into the account. A lender
+ * at its bound would lose its refill, and an account that gets all of a customer's requests would borrow for each.
  */
 internal class Borrower(
     private val self: VmId,
@@ -31,6 +36,7 @@
     private val outbox: SettlementOutbox,
     private val scope: CoroutineScope,
     private val settings: LimitSettings,
+    private val keep: (millitokens: Int, isStillHeld: () -> Boolean) -> Int,
 ) {
     private class Waiter(val millitokens: Int) {
         val parts = CompletableDeferred<List<BorrowedPart>>()
@@ -59,21 +65,27 @@
 
     private suspend fun run() {
         while (true) {
-            val batch = synchronized(this) {
-                waiting.toList().also {
-                    waiting.clear()
-                    inFlight = it.isNotEmpty()
-                }
-            }
+            val batch = takeWaiting()
             if (batch.isEmpty()) return
             val wanted = batch.sumOf { it.millitokens }
             val parts = ask(wanted)
-            if (parts.sumOf { it.millitokens } < wanted) {
-                synchronized(this) {
+            val found = parts.sumOf { it.millitokens }
+            distribute(batch, parts)
+            if (found < wanted) {
+                val refused = synchronized(this) {
                     pausedUntilNanos = timer.nanoTime() + settings.borrowPauseMillis * NANOS_PER_MILLI
+                    takeWaiting().also { inFlight = false }
                 }
+                refused.forEach { it.parts.complete(emptyList()) }
+                return
             }
-            distribute(batch, parts)
+        }
+    }
+
+    private fun takeWaiting(): List<Waiter> = synchronized(this) {
+        waiting.toList().also {
+            waiting.clear()
+            inFlight = it.isNotEmpty()
         }
     }
 
@@ -81,14 +93,9 @@
         val parts = ArrayList<BorrowedPart>()
         var missing = millitokens
         for (shard in lendersByLevel()) {
-            if (missing == 0) break
-            val request = AcquireRequest(
-                self,
-                shard,
-                listOf(AcquireItem(customer, missing)),
-                outbox.takeSpent(shard),
-                lend = true,
-            )
+            if (missing <= 0) break
+            val items = listOf(AcquireItem(customer, missing + half(shard)))
+            val request = AcquireRequest(self, shard, items, outbox.takeSpent(shard), lend = true)
             val sentNanos = timer.nanoTime()
             val reply = directory.acquire(request).get()
             val grant = reply?.grants?.firstOrNull()
@@ -103,6 +110,10 @@
         return parts
     }
 
+    private fun half(shard: LimitShardId): Int = synchronized(this) {
+        (lastLevels[shard] ?: 0).coerceAtMost(MAX_AMOUNT) * TOKEN_MILLITOKENS / 2
+    }
+
     /** The lenders in the order of their last known level; one that was never asked comes first. */
     private fun lendersByLevel(): List<LimitShardId> = synchronized(this) {
         lenders().filter(directory::isReachable)
@@ -116,7 +127,10 @@
             val own = takeParts(rest, waiter.millitokens)
             if (!waiter.parts.complete(own)) own.forEach { it.use.settle(it.millitokens, unspent = it.millitokens) }
         }
-        rest.forEach { it.use.settle(it.millitokens, unspent = it.millitokens) }
+        for (part in rest) {
+            val kept = keep(part.millitokens) { part.use.isValid(timer) }
+            part.use.settle(part.millitokens, unspent = part.millitokens - kept)
+        }
     }
 
     private fun takeParts(rest: ArrayDeque<BorrowedPart>, millitokens: Int): List<BorrowedPart> {
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
@@ -123,7 +123,9 @@
             levelsPicotokens: Map<CustomerId, Long>,
             refillDelayMillis: Long,
         ) {
-            val accounts = OwnedShard(shard, lease, timer, settings, accountFactory) { borrower(shard, it) }
+            val accounts = OwnedShard(shard, lease, timer, settings, accountFactory) { customer, account ->
+                borrower(shard, customer, account)
+            }
             accounts.configure(customers(), layouts, levelsPicotokens, refillDelayMillis)
             owned[shard] = Owned(accounts, layouts)
         }
@@ -148,7 +150,7 @@
 
     private fun customers() = configuration.current?.customers.orEmpty()
 
-    private fun borrower(shard: LimitShardId, customer: CustomerId) = Borrower(
+    private fun borrower(shard: LimitShardId, customer: CustomerId, account: Account) = Borrower(
         self = self,
         customer = customer,
         lenders = { layouts.current?.let { lenders(it, shard, customer) }.orEmpty() },
@@ -157,6 +159,9 @@
         outbox = outbox,
         scope = scope,
         settings = settings,
+        keep = { millitokens, isStillHeld ->
+            synchronized(account) { account.credit(millitokens, timer.nanoTime(), isStillHeld) }
+        },
     )
 
     private fun lenders(layout: ShardLayout, shard: LimitShardId, customer: CustomerId): List<LimitShardId> =
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/OwnedShard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/OwnedShard.kt
@@ -16,7 +16,7 @@
     private val timer: TimerService,
     private val settings: LimitSettings,
     private val accountFactory: AccountFactory,
-    private val borrowerOf: (CustomerId) -> Borrower,
+    private val borrowerOf: (CustomerId, Account) -> Borrower,
 ) {
     /** An account with its way to borrow. */
     class Entry(val account: Account, val borrower: Borrower)
@@ -54,7 +54,7 @@
             if (entry == null) {
                 val startNanos = timer.nanoTime() + refillDelayMillis * NANOS_PER_MILLI
                 val account = accountFactory.create(share, startNanos, levelsPicotokens[id] ?: 0) { given.remove(it) }
-                entries[id] = Entry(account, borrowerOf(id))
+                entries[id] = Entry(account, borrowerOf(id, account))
             } else {
                 synchronized(entry.account) { entry.account.change(share, timer.nanoTime()) }
             }
