Report ready only when accounts can be asked

Cause: at the start of a fleet the owners have not agreed on the first shares, and 42 of 200 requests of the path scenario were refused as over the rate although the customer was within it. Ruled out: starting accounts with a share, because an earlier owner's grants may still be spent. Conclusion: a load balancer sends nothing before the accounts work.

--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
@@ -38,18 +38,21 @@
     private val settings: LimitSettings,
     private val accountFactory: AccountFactory = AccountFactory(::Account),
 ) : TokenSource {
-    private class Owned(val accounts: OwnedShard, val layouts: List<ShardLayout>)
+    private class Owned(val accounts: OwnedShard, val layouts: List<ShardLayout>) {
+        /** False until the owners of all shards have agreed on the first shares; the accounts are empty before. */
+        val hasShares: Boolean get() = ShardLayout.EMPTY !in layouts
+    }
 
     private val owned = ConcurrentHashMap<LimitShardId, Owned>()
 
     /** Takes a token of an account that this node owns, without a message; null when it does not own the account. */
     fun takeLocal(shard: LimitShardId, customer: CustomerId): Boolean? {
-        val accounts = owned[shard]?.accounts?.takeIf { it.lease.remainingMillis() > 0 } ?: return null
+        val accounts = serving(shard)?.takeIf { it.lease.remainingMillis() > 0 } ?: return null
         return accounts.takeOne(customer)
     }
 
     override suspend fun acquire(request: AcquireRequest): Result<AcquireReply, PeerError> {
-        val accounts = owned[request.shard]?.accounts ?: return Ok(notOwner(request.shard))
+        val accounts = serving(request.shard) ?: return Ok(notOwner(request.shard))
         request.spentGrantIds.forEach { accounts.settle(it, unspent = 0) }
         val unit = if (request.lend) 1 else TOKEN_MILLITOKENS
         // All accounts are debited before any borrowing starts, so that no customer waits for another one's lender.
@@ -112,6 +115,8 @@
         return Ok(Unit)
     }
 
+    private fun serving(shard: LimitShardId): OwnedShard? = owned[shard]?.takeIf { it.hasShares }?.accounts
+
     private fun notOwner(shard: LimitShardId) =
         AcquireReply.NotOwner(members.ownerOf(shard)?.owner?.takeIf { it != self })
 
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitService.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitService.kt
@@ -112,6 +112,11 @@
         settings = settings,
     )
 
+    private val readiness = LimitReadiness(self, timer, directory)
+
+    /** Whether accounts could be asked since the start; requests that come earlier would be refused. */
+    val isReady: Boolean get() = readiness.isReady
+
     /** The shards that this node owns now. */
     val ownedShards: List<LimitShardId> get() = leases.filterValues { it.remainingMillis() > 0 }.keys.toList()
 
@@ -159,6 +164,7 @@
         }
         leases.values.forEach { lease -> scope.launch { guarded { lease.step() } } }
         if (leases.values.any { it.unsettledLayouts != null }) scope.launch { guarded { agreeOnLayouts() } }
+        if (!isReady) scope.launch { guarded { readiness.probe(layout) } }
     }
 
     private suspend fun guarded(block: suspend () -> Unit) {
--- a/node/src/main/kotlin/ragwortbarrow/node/Node.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Node.kt
@@ -170,6 +170,7 @@
             timer = timer,
             log = log,
             keysLoaded = { keys.isLoaded },
+            limitsReady = { limits.isReady },
             bodyLimitBytes = settings.bodyLimitBytes,
             fileLimitBytes = settings.fileLimitBytes,
             requestTimeoutMillis = settings.requestTimeoutMillis,
--- a/scenarios/src/test/kotlin/ragwortbarrow/scenarios/Fleet.kt
+++ b/scenarios/src/test/kotlin/ragwortbarrow/scenarios/Fleet.kt
@@ -160,6 +160,9 @@
         name = "scenario",
         fleet = Fleet(
             failureDomains = plan.nodes.map { it.domain }.distinct().map { FailureDomain(FailureDomainId(it)) },
+            // Long queues, so that a slow machine delays answers instead of refusing them.
+            queueWaitMillis = 30_000,
+            queueLengthPerCustomer = 2_000,
         ),
         models = plan.engines.map { it.model }.distinct().map { Model(it) },
         services = plan.services.map { service ->
