Test a frozen entry node and tighten the lease's visibility

Fields that the ticking coroutine reads are volatile, a restarted standby is told of its new record at once, accounts claimed during a configuration change take the newer customers, and unlikely claimants read a record every 30 s instead of 10 s (about 50 instead of 155 platform reads/s at 410 nodes, computed).

--- a/core/src/main/kotlin/ragwortbarrow/core/lease/LimitShardLease.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/lease/LimitShardLease.kt
@@ -55,8 +55,12 @@
     private val name = shard.toString()
     private val mutex = Mutex()
     private val clock = LeaseClock(timer, settings)
+
+    @Volatile
     private var held: Held? = null
     private var pending: List<Pending> = emptyList()
+
+    @Volatile
     private var layoutSet: LayoutSet? = null
     private var appliedVersion = 0L
     private var seenVersion = -1L
@@ -135,7 +139,7 @@
         when (val error = written.getError()) {
             null -> {
                 adopt(next, checkNotNull(written.get()).version, now)
-                if (next.standby != holding.record.standby) tellStandby(next)
+                if (!next.hasStandbyOf(holding.record)) tellStandby(next)
             }
             is StoreError.Conflict, is StoreError.NotFound -> readBack(holding)
             is StoreError.OutcomeUnknown -> {
@@ -292,7 +296,7 @@
     }
 
     /** Nodes that are unlikely to claim read rarely, to save the platform's reads. */
-    private fun watchMillis(): Long = if (rank() <= 1) settings.watchMillis else settings.watchMillis * 10
+    private fun watchMillis(): Long = if (rank() <= 1) settings.watchMillis else settings.watchMillis * 30
 
     private suspend fun consider(stored: StoredObject, record: LimitShardRecord, current: LayoutInForce) {
         duty.sawRecord(shard, record)
@@ -397,6 +401,9 @@
     private suspend fun versionOfOwn(written: LimitShardRecord): Long? =
         read().get()?.takeIf { LimitShardRecord.of(it).writerToken == written.writerToken }?.version
 
+    private fun LimitShardRecord.hasStandbyOf(other: LimitShardRecord) =
+        standby == other.standby && standbyIncarnation == other.standbyIncarnation
+
     private fun LimitShardRecord.isMine() = owner == self.vm && ownerIncarnation == self.incarnation && !released
 
     /** This node's place among the live members that could claim the shard. */
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitOwner.kt
@@ -133,6 +133,8 @@
             }
             accounts.configure(customers(), layouts, levelsPicotokens, refillDelayMillis)
             owned[shard] = Owned(accounts, layouts)
+            // A configuration that came into force meanwhile has not reached these accounts.
+            configure()
         }
 
         override fun onLayouts(layouts: List<ShardLayout>) {
--- a/core/src/test/kotlin/ragwortbarrow/core/limits/LimitServiceTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/limits/LimitServiceTest.kt
@@ -22,6 +22,7 @@
 import strikt.assertions.contains
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
@@ -178,6 +179,23 @@
         expectThat(levelAt(shard)).isEqualTo(30)
     }
 
+    @Test
+    fun `an entry node that was frozen with a grant in flight spends nothing of it`() {
+        fill()
+        val entry = fleet.live().first { it.info.failureDomain == shard.failureDomain && it !== owner }
+        repeat(10) { fleet.request(entry, customer.id) }
+        // The first call asks for one token; the second, for the nine that waited, is answered while frozen.
+        fleet.timer.advance(3)
+        entry.timer.frozen = true
+        fleet.timer.advance(5_000)
+        entry.timer.resume()
+        repeat(60) { fleet.request(owner, customer.id) }
+        fleet.timer.advance(100)
+        val record = fleet.admissions.getValue(customer.id)
+        expectThat(record.excess).isLessThan(1e-6)
+        expectThat(record.excess).isGreaterThan(-3.0)
+    }
+
     @Test
     fun `requests that wait for a call share the next one`() {
         fill()
