Pull an announced version from the peer that announced it

With announcements, two of seven changes on nine nodes still took 1 s to the last node: the table of members takes an entry only with a new heartbeat, so a version announced between two heartbeats was not seen. versionSeen now names the peer and the version, and that peer is asked directly.

--- a/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/config/ConfigurationSync.kt
@@ -19,14 +19,15 @@
 import ragwortbarrow.core.membership.MemberView
 import ragwortbarrow.core.membership.WatcherElection
 import ragwortbarrow.core.peer.GossipMessage
-import ragwortbarrow.core.peer.MemberInfo
 import ragwortbarrow.core.peer.PeerConnector
+import ragwortbarrow.core.peer.PeerService
 import ragwortbarrow.core.store.KindWatcher
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.ObjectStore
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.time.TimerService
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 
 /**
@@ -49,6 +50,7 @@
 ) {
     private val applying = Mutex()
     private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+    private val hint = AtomicReference<Hint?>(null)
     private var jobs: List<Job> = emptyList()
     private var stopTimer: () -> Unit = {}
     private val watcher = KindWatcher(
@@ -67,7 +69,8 @@
         if (jobs.isNotEmpty()) return
         watcher.start()
         jobs = listOf(scope.launch { for (wakeUp in wakeUps) pullFromPeers() })
-        stopTimer = timer.every(peerCheckMillis) { versionSeen() }.let { subscription -> { subscription.cancel() } }
+        stopTimer =
+            timer.every(peerCheckMillis) { wakeUps.trySend(Unit) }.let { subscription -> { subscription.cancel() } }
     }
 
     @Synchronized
@@ -78,8 +81,13 @@
         jobs = emptyList()
     }
 
-    /** Tells that gossip has changed a member's version; without this call the change is found at the next check. */
-    fun versionSeen() {
+    /**
+     * Tells that gossip from [peer] carried [version]. The peer itself is asked for it, because the table of members may
+     * not show the version yet: it takes a member's entry only with a new heartbeat.
+     */
+    fun versionSeen(peer: PeerService, version: Long) {
+        if (!holder.wants(version)) return
+        hint.updateAndGet { known -> if (known == null || known.version < version) Hint(peer, version) else known }
         wakeUps.trySend(Unit)
     }
 
@@ -97,25 +105,26 @@
             decisionLog.record("configuration_unreadable", "version" to stored.version, "reason" to failure.message)
             return
         }
-        if (!apply(head, peersWith(head.version))) throw PartsMissingException(head.version)
+        if (!apply(head, sources(head.version))) throw PartsMissingException(head.version)
     }
 
     private suspend fun pullFromPeers() {
-        for (peer in peersWith(holder.status.appliedVersion + 1)) {
-            if (!holder.wants(peer.configurationVersion)) continue
+        val hinted = hint.getAndSet(null)?.takeIf { holder.wants(it.version) }?.peer
+        val peers = listOfNotNull(hinted) + sources(holder.status.appliedVersion + 1)
+        for (peer in peers) {
             try {
-                val head = connector.connect(peer.peerAddress).fetchHead().get() ?: continue
-                if (apply(head, listOf(peer) + peersWith(head.version).filter { it.vm != peer.vm })) return
+                val head = peer.fetchHead().get() ?: continue
+                if (holder.wants(head.version) && apply(head, listOf(peer) + sources(head.version))) return
             } catch (failure: CancellationException) {
                 throw failure
             } catch (failure: Exception) {
-                decisionLog.record("configuration_pull_failed", "peer" to peer.vm, "reason" to failure.message)
+                decisionLog.record("configuration_pull_failed", "reason" to failure.message)
             }
         }
     }
 
     /** Returns false if parts of [head] could not be had; the caller tries again later. */
-    private suspend fun apply(head: ConfigurationHead, peers: List<MemberInfo>): Boolean = applying.withLock {
+    private suspend fun apply(head: ConfigurationHead, peers: List<PeerService>): Boolean = applying.withLock {
         if (!holder.wants(head.version)) return@withLock true
         val parts = HashMap<String, ConfigurationPart>()
         fun missing() = head.parts.map { it.sha256 }.distinct().filter { it !in parts && holder.part(it) == null }
@@ -153,12 +162,12 @@
 
     /** Returns false if the peer cannot be asked. */
     private suspend fun takeFromPeer(
-        peer: MemberInfo,
+        peer: PeerService,
         digests: List<String>,
         parts: MutableMap<String, ConfigurationPart>,
     ): Boolean {
-        val reply = connector.connect(peer.peerAddress).fetchParts(digests).getOrElse { error ->
-            decisionLog.record("configuration_parts_failed", "peer" to peer.vm, "reason" to error.message)
+        val reply = peer.fetchParts(digests).getOrElse { error ->
+            decisionLog.record("configuration_parts_failed", "reason" to error.message)
             // Many large parts may exceed what one call carries.
             return digests.size > 1 && digests.all { takeFromPeer(peer, listOf(it), parts) }
         }
@@ -177,12 +186,19 @@
             },
         )
 
-    /** Live peers that have [version] or a newer one, up to three, those of the own failure domain first. */
-    private fun peersWith(version: Long): List<MemberInfo> = members.live()
-        .filter { it.vm != members.self.vm && it.configurationVersion >= version }
+    /** Live peers that have [version] or a newer one and that this node wants, up to three, the nearest first. */
+    private fun sources(version: Long): List<PeerService> = members.live()
+        .filter {
+            it.vm != members.self.vm &&
+                it.configurationVersion >= version &&
+                holder.wants(it.configurationVersion)
+        }
         .shuffled(random)
         .sortedBy { it.failureDomain != members.self.failureDomain }
         .take(PEERS_PER_PULL)
+        .map { connector.connect(it.peerAddress) }
+
+    private class Hint(val peer: PeerService, val version: Long)
 
     private companion object {
         const val PEERS_PER_PULL = 3
--- a/core/src/test/kotlin/ragwortbarrow/core/config/TestFleet.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/config/TestFleet.kt
@@ -166,7 +166,8 @@
             override suspend fun fetchHead() = answer { target?.configuration?.fetchHead() }
 
             override suspend fun exchange(message: GossipMessage) = answer {
-                target?.configuration?.versionSeen()
+                val sender = message.members.first().vm.value
+                target?.let { it.configuration.versionSeen(it.peer(sender), message.configurationVersion) }
                 message
             }
 
--- a/node/src/main/kotlin/ragwortbarrow/node/Node.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Node.kt
@@ -73,7 +73,7 @@
         configurationVersion = { configuration.status.appliedVersion },
         keysDigest = { keySync.keysDigest() },
         listener = { peer, message ->
-            configurationSync.versionSeen()
+            configurationSync.versionSeen(peer, message.configurationVersion)
             keySync.heard(peer, message.keysDigest)
         },
     )
