--- a/core/src/main/kotlin/ragwortbarrow/core/batch/SpareSlots.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/SpareSlots.kt
@@ -17,7 +17,8 @@
 internal class SpareSlots(
     private val timer: TimerService,
     private val headroomSlots: (BackendServer) -> Int = ::defaultHeadroomSlots,
-    private val toleranceMillis: Long = 50,
+    /** How much older than its stated age a load report may be; engines publish theirs with a lag. */
+    private val reportLagMillis: Long = 1_000,
     private val historyMillis: Long = 10_000,
     silenceMillis: Long = 3_000,
 ) {
@@ -48,7 +49,7 @@
     fun accept(server: BackendServerId, report: LoadReport) {
         val load = load(server)
         val madeAtMillis = timer.monotonicMillis() - report.ageMillis
-        val known = load.greatestKnown(madeAtMillis - toleranceMillis, madeAtMillis + toleranceMillis)
+        val known = load.greatestKnown(madeAtMillis - reportLagMillis, madeAtMillis)
         load.unreported = (report.running + report.waiting - known).coerceAtLeast(0)
     }
 
--- a/core/src/test/kotlin/ragwortbarrow/core/batch/BatchInvariantsTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/BatchInvariantsTest.kt
@@ -12,8 +12,8 @@
 
 /**
  * Guards exactly-once results, cancellation and the single start of items that may not be repeated, while nodes are
- * killed and frozen between any two steps and the platform fails. Each guard is also taken away once, to show that the
- * same schedules then break what they check.
+ * killed and frozen between any two steps and the platform fails. Start records are also taken away, to show that the
+ * same schedules then break what they check; LateWriteTest does this for conditional updates.
  */
 class BatchInvariantsTest {
     private val ids = (1..260).map { "item-$it" }
@@ -33,16 +33,6 @@
         expectThat(brokenSingleStart(seed, StoreVariant.FAITHFUL)).isEqualTo(null)
     }
 
-    @Test
-    fun `without conditional updates recorded results change`() {
-        expectThat(firstBroken { brokenCompletion(it, StoreVariant.UNCONDITIONAL) }).isNotNull()
-    }
-
-    @Test
-    fun `without conditional updates results are recorded after a job is cancelled`() {
-        expectThat(firstBroken { brokenCancellation(it, StoreVariant.UNCONDITIONAL) }).isNotNull()
-    }
-
     @Test
     fun `without start records items that may not be repeated start twice`() {
         expectThat(firstBroken { brokenSingleStart(it, StoreVariant.NO_START_RECORDS) }).isNotNull()
--- a/core/src/test/kotlin/ragwortbarrow/core/batch/StoreVariant.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/StoreVariant.kt
@@ -1,11 +1,12 @@
 package ragwortbarrow.core.batch
 
-import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.mapError
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
+import ragwortbarrow.core.store.MemoryObjectStore
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.ObjectStore
 import ragwortbarrow.core.store.StoreError
@@ -25,10 +26,11 @@
     NO_START_RECORDS,
     ;
 
-    fun wrap(store: ObjectStore): ObjectStore = if (this == FAITHFUL) store else VariantStore(store, this)
+    fun wrap(store: MemoryObjectStore): ObjectStore = if (this == FAITHFUL) store else VariantStore(store, this)
 }
 
-private class VariantStore(private val store: ObjectStore, private val variant: StoreVariant) : ObjectStore by store {
+private class VariantStore(private val store: MemoryObjectStore, private val variant: StoreVariant) :
+    ObjectStore by store {
     override suspend fun create(
         kind: ObjectKind,
         name: String,
@@ -43,12 +45,11 @@
         spec: JsonObject,
         labels: Map<String, String>,
     ): Result<StoredObject, StoreError> {
-        val version = if (variant == StoreVariant.UNCONDITIONAL) {
-            store.get(kind, name).getOrElse { return reply(Err(it)) }.version
-        } else {
-            expectedVersion
+        val updated = store.update(kind, name, expectedVersion, stripped(spec), labels)
+        if (variant == StoreVariant.UNCONDITIONAL && updated.getError() is StoreError.Conflict) {
+            return Ok(store.put(kind, name, spec, labels))
         }
-        return reply(store.update(kind, name, version, stripped(spec), labels))
+        return reply(updated)
     }
 
     private fun reply(result: Result<StoredObject, StoreError>) = result.mapError {
