Cover batch work by scenarios, and read suspected leases less often

Adds tests of resends, lost replies, poison items, outage, graceful stop, two dispatchers, bursts, job order and spare slots. Two dispatchers that both saw the other's items as unreported load cancelled everything and started again with each load report; unreported load now withdraws only half of the excess. Their test counts finished runs, because an item cancelled for room starts again by design.

A lease is now read when first suspected and again once it may have lapsed.

--- a/cli/src/main/kotlin/ragwortbarrow/cli/bench/BenchFleet.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/bench/BenchFleet.kt
@@ -24,6 +24,7 @@
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.manifest.BackendServer
+import ragwortbarrow.core.manifest.Model
 import ragwortbarrow.core.membership.MemberView
 import ragwortbarrow.core.peer.AcquireRequest
 import ragwortbarrow.core.peer.ConsentRequest
@@ -51,7 +52,8 @@
     private val peerLatencyMillis: Long = 1,
     private val settings: BatchSettings = BatchSettings(),
 ) : ConfigurationView {
-    override val current: ConfigurationSnapshot = benchSnapshot(servers)
+    override val current =
+        ConfigurationSnapshot(1, benchSnapshot(servers).manifest.copy(models = listOf(Model(benchTarget.model))))
     private val runtimes = LinkedHashMap<VmId, BatchRuntime>()
     private val infos = LinkedHashMap<VmId, MemberInfo>()
 
@@ -80,6 +82,11 @@
         return runtime
     }
 
+    /** Shows a live member that does nothing. */
+    fun join(vm: VmId, incarnation: Long) {
+        infos[vm] = MemberInfo(vm, incarnation, 1, benchDomain(0), vm.value, vm.value)
+    }
+
     /** Takes a node out of the members that others see. */
     fun leave(vm: VmId) {
         infos.remove(vm)
--- a/core/src/main/kotlin/ragwortbarrow/core/batch/BatchWorker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/BatchWorker.kt
@@ -152,7 +152,9 @@
             scope.launch {
                 client.load(state.server).onSuccess {
                     slots.accept(state.server.id, it)
-                    withdrawExcess(state.server.id)
+                    // Half, because two dispatchers that see each other's items would otherwise both leave.
+                    val excess = state.running.size - slots.allowed(state.server)
+                    withdrawNewest(state, (excess + 1) / 2)
                 }
             }
         }
@@ -168,17 +170,20 @@
         return target.servers(snapshot).mapNotNull { servers[it.id] }.filter { it.mine }
     }
 
-    /** Cancels the newest items of a server that runs more than it may. */
+    /** Makes room on a server that runs more than the reported online requests leave. */
     private fun withdrawExcess(serverId: BackendServerId) {
         val state = servers[serverId] ?: return
-        val excess = state.running.size - slots.allowed(state.server)
-        if (excess <= 0) return
-        val newest = state.running.filter { it.chunk.repeatable }.takeLast(excess)
+        withdrawNewest(state, state.running.size - slots.allowedBesideOnline(state.server))
+    }
+
+    private fun withdrawNewest(state: ServerState, count: Int) {
+        if (count <= 0) return
+        val newest = state.running.filter { it.chunk.repeatable }.takeLast(count)
         newest.asReversed().forEach(::withdraw)
         decisions.record(
             "batch_yield",
-            "server" to serverId,
-            "online" to slots.onlineInFlight(serverId),
+            "server" to state.server.id,
+            "online" to slots.onlineInFlight(state.server.id),
             "cancelled" to newest.size,
             "left" to state.running.size,
         )
@@ -525,7 +530,7 @@
             val suspects = open.map { it.second }
                 .filter { it.holder != self.vm && live[it.holder] != it.holderIncarnation }
                 .mapNotNullTo(HashSet()) { it.holder }
-            leases.observe(suspects)
+            leases.observe(suspects, restarted = suspects.filterTo(HashSet()) { it in live })
             lostChunks.clear()
             open.forEach { (job, chunk) ->
                 val name = BatchNames.chunkName(job.id, chunk.index)
--- a/core/src/main/kotlin/ragwortbarrow/core/batch/SpareSlots.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/SpareSlots.kt
@@ -25,11 +25,13 @@
     private val online = OnlineLoadTable(timer, silenceMillis)
     private val servers = HashMap<BackendServerId, ServerLoad>()
 
-    /** Batch items that [server] may run at this instant, those already running included. */
-    fun allowed(server: BackendServer): Int {
-        val unreported = servers[server.id]?.unreported ?: 0
-        return (server.slots - headroomSlots(server) - online.inFlight(server.id) - unreported).coerceAtLeast(0)
-    }
+    /** Batch items that may run on [server] beside the online requests that entry nodes reported. */
+    fun allowedBesideOnline(server: BackendServer): Int =
+        (server.slots - headroomSlots(server) - online.inFlight(server.id)).coerceAtLeast(0)
+
+    /** Batch items up to which [server] may be filled: unreported load counts as well. */
+    fun allowed(server: BackendServer): Int =
+        (allowedBesideOnline(server) - (servers[server.id]?.unreported ?: 0)).coerceAtLeast(0)
 
     fun onlineInFlight(server: BackendServerId): Int = online.inFlight(server)
 
--- a/core/src/main/kotlin/ragwortbarrow/core/batch/VmLeaseWatch.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/VmLeaseWatch.kt
@@ -32,21 +32,25 @@
 ) {
     private val observations = HashMap<VmId, Observation>()
 
-    /** Reads the leases of [vms] and forgets all others. */
-    suspend fun observe(vms: Set<VmId>) {
+    /**
+     * Reads the leases of [vms] and forgets all others. A lease is read when it is first suspected and again when it
+     * may have lapsed; those of VMs in [restarted], whose newer incarnation was seen elsewhere, are read each time.
+     */
+    suspend fun observe(vms: Set<VmId>, restarted: Set<VmId> = emptySet()) {
         observations.keys.retainAll(vms)
-        if (vms.isEmpty()) return
-        val sentNanos = timer.nanoTime()
-        if (vms.size <= MAX_SINGLE_READS) {
-            vms.forEach { vm ->
-                val singleSentNanos = timer.nanoTime()
-                note(vm, store.get(ObjectKind.VM_LEASES, vm.value), singleSentNanos)
+        val due = vms.filter { it in restarted || isDue(it) }
+        if (due.isEmpty()) return
+        if (due.size <= MAX_SINGLE_READS) {
+            due.forEach { vm ->
+                val sentNanos = timer.nanoTime()
+                note(vm, store.get(ObjectKind.VM_LEASES, vm.value), sentNanos)
             }
         } else {
+            val sentNanos = timer.nanoTime()
             val leases = BatchReader(store).all(ObjectKind.VM_LEASES, emptyMap(), metadataOnly = false)
                 .getOrElse { return }
                 .associateBy { it.name }
-            vms.forEach { noteFields(it, leases[it.value]?.record(), sentNanos) }
+            due.forEach { noteFields(it, leases[it.value]?.record(), sentNanos) }
         }
     }
 
@@ -68,10 +72,17 @@
             observations[vm] = Observation(fields, sinceNanos = timer.nanoTime())
             return
         }
-        val termMillis = fields?.termMillis ?: defaultTermMillis
-        earlier.lapsed = sentNanos - earlier.sinceNanos >= (termMillis + marginMillis) * NANOS_PER_MILLI
+        earlier.lapsed = sentNanos - earlier.sinceNanos >= lapseNanos(earlier)
     }
 
+    private fun isDue(vm: VmId): Boolean {
+        val observation = observations[vm] ?: return true
+        return timer.nanoTime() - observation.sinceNanos >= lapseNanos(observation)
+    }
+
+    private fun lapseNanos(observation: Observation): Long =
+        ((observation.fields?.termMillis ?: defaultTermMillis) + marginMillis) * NANOS_PER_MILLI
+
     private class Observation(val fields: VmLeaseFields?, val sinceNanos: Long, var lapsed: Boolean = false)
 
     private companion object {
--- a/core/src/test/kotlin/ragwortbarrow/core/batch/FakeEngines.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/batch/FakeEngines.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import ragwortbarrow.core.backend.AttemptOutcome
 import ragwortbarrow.core.backend.BackendAnswer
@@ -18,6 +19,9 @@
     /** How often each item was started. */
     val starts = HashMap<String, Int>()
 
+    /** How often each item ran to its end. */
+    val answers = HashMap<String, Int>()
+
     /** The company of each start of a poison item. */
     val poisonNeighbours = ArrayList<Int>()
     private val running = HashMap<BackendServerId, LinkedHashMap<RequestId, CompletableDeferred<AttemptOutcome>>>()
@@ -39,10 +43,13 @@
             poisonNeighbours += requests.size - 1
             timer.once(50) { crash(server) }
         } else {
-            timer.once(durationMillis(id)) { outcome.complete(answer(id)) }
+            timer.once(durationMillis(id)) { if (outcome.complete(answer(id))) answers.merge(id, 1, Int::plus) }
         }
         return try {
             outcome.await()
+        } catch (e: CancellationException) {
+            outcome.cancel()
+            throw e
         } finally {
             requests.remove(request.requestId, outcome)
         }
