--- a/cli/src/main/kotlin/ragwortbarrow/cli/KeyWithdrawal.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/KeyWithdrawal.kt
@@ -64,9 +64,10 @@
         )
 
     private suspend fun tell(address: String, id: KeyId): String? = try {
-        withTimeoutOrNull(nodeTimeoutMillis) {
-            connector.connect(address).updateKeys(KeyUpdate(tombstones = listOf(id))).fold({ null }, { it.message })
-        } ?: "no reply within $nodeTimeoutMillis ms"
+        val reply = withTimeoutOrNull(nodeTimeoutMillis) {
+            connector.connect(address).updateKeys(KeyUpdate(tombstones = listOf(id)))
+        }
+        if (reply == null) "no reply within $nodeTimeoutMillis ms" else reply.fold({ null }, { it.message })
     } catch (failure: CancellationException) {
         throw failure
     } catch (failure: Exception) {
--- a/node/src/main/kotlin/ragwortbarrow/node/Node.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Node.kt
@@ -27,6 +27,7 @@
 import ragwortbarrow.node.http.CallerParts
 import ragwortbarrow.node.http.HttpServer
 import ragwortbarrow.node.log.KeyValueLog
+import ragwortbarrow.node.metrics.NodeGauges
 import ragwortbarrow.node.metrics.NodeMetrics
 import ragwortbarrow.node.settings.Settings
 import ragwortbarrow.peer.GrpcPeerConnector
@@ -178,7 +179,16 @@
     fun start() {
         peerServer.start()
         httpServer.start()
-        metrics.observe(members, configuration, limits, online, drain)
+        metrics.observe(
+            NodeGauges(
+                drain = drain,
+                liveMembers = { members.live().size },
+                platformAgeMillis = members::platformAgeMillis,
+                configurationVersion = { configuration.status.appliedVersion },
+                ownedShards = { limits.ownedShards.size },
+                waitingRequests = online::waiting,
+            ),
+        )
         online.loads.addListener(BatchLoadListener(batch))
         vmList.start()
         members.start()
--- a/node/src/main/kotlin/ragwortbarrow/node/http/HttpServer.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/http/HttpServer.kt
@@ -41,5 +41,10 @@
 
     private companion object {
         const val MAX_HEADER_BYTES = 32_768
+
+        init {
+            // By default Ktor stops the server in a shutdown hook of its own, which cuts requests before they drain.
+            System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+        }
     }
 }
--- a/node/src/main/kotlin/ragwortbarrow/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/metrics/NodeMetrics.kt
@@ -8,13 +8,8 @@
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import ragwortbarrow.core.config.ConfigurationView
 import ragwortbarrow.core.error.ResultCode
-import ragwortbarrow.core.limits.LimitService
-import ragwortbarrow.core.membership.MemberView
-import ragwortbarrow.core.routing.RoutedOnlineService
 import ragwortbarrow.core.store.ObjectKind
-import ragwortbarrow.node.drain.Drain
 import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
@@ -59,22 +54,16 @@
     }
 
     /** Shows the state of the parts as gauges. */
-    fun observe(
-        members: MemberView,
-        configuration: ConfigurationView,
-        limits: LimitService,
-        online: RoutedOnlineService,
-        drain: Drain,
-    ) {
-        gauge("members.live", "Nodes whose heartbeat moves, this one included") { members.live().size }
+    fun observe(parts: NodeGauges) {
+        gauge("members.live", "Nodes whose heartbeat moves, this one included", parts.liveMembers)
         gauge("platform.age.seconds", "Time since the platform was heard of, -1 if never") {
-            members.platformAgeMillis()?.let { it / 1_000.0 } ?: -1.0
+            parts.platformAgeMillis()?.let { it / 1_000.0 } ?: -1.0
         }
-        gauge("configuration.version", "Version in force, 0 if none") { configuration.current?.version ?: 0 }
-        gauge("limit.shards.owned", "Limit shards that this node owns") { limits.ownedShards.size }
-        gauge("requests.in.flight", "Requests of callers that are being served") { drain.inFlight }
-        gauge("requests.waiting", "Requests that wait for a slot on a backend server") { online.waiting() }
-        gauge("draining", "1 from the start of a graceful shutdown") { if (drain.isDraining) 1 else 0 }
+        gauge("configuration.version", "Version in force, 0 if none", parts.configurationVersion)
+        gauge("limit.shards.owned", "Limit shards that this node owns", parts.ownedShards)
+        gauge("requests.in.flight", "Requests of callers that are being served") { parts.drain.inFlight }
+        gauge("requests.waiting", "Requests that wait for a slot on a backend server", parts.waitingRequests)
+        gauge("draining", "1 from the start of a graceful shutdown") { if (parts.drain.isDraining) 1 else 0 }
     }
 
     fun scrape(): String = registry.scrape()
