--- a/cli/src/main/kotlin/ragwortbarrow/cli/bench/GossipSlopes.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/bench/GossipSlopes.kt
@@ -49,7 +49,7 @@
     private val fleet: Map<String, Members> = infos().associate { it.peerAddress to members(it) }
     private var sentBytes = 0L
 
-    fun measure(warmupSeconds: Int = 30, seconds: Int = 30): GossipSlope {
+    fun measure(warmupSeconds: Int = 120, seconds: Int = 30): GossipSlope {
         var phase = 0L
         fleet.values.forEach { node ->
             // Nodes start at different instants, so their timers do not fire together.
