--- a/cli/src/main/kotlin/ragwortbarrow/cli/RagwortbarrowCommand.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/RagwortbarrowCommand.kt
@@ -10,6 +10,7 @@
 import ragwortbarrow.cli.dev.DevEngine
 import ragwortbarrow.cli.dev.DevPlatform
 import ragwortbarrow.cli.dev.DevService
+import ragwortbarrow.cli.dev.DevTraffic
 import ragwortbarrow.cli.job.JobCommand
 import ragwortbarrow.cli.status.StatusCommand
 import ragwortbarrow.peer.GrpcPeerConnector
@@ -32,6 +33,7 @@
         DevPlatform(),
         DevEngine(),
         DevService(),
+        DevTraffic(),
     ),
 )
 
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/FleetLimiter.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/FleetLimiter.kt
@@ -48,7 +48,11 @@
     }
 
     private suspend fun admitFrom(customer: CustomerId, shards: List<LimitShardId>): Result<Unit, ServingError> {
-        for (shard in shards.filter(directory::isReachable)) {
+        val (reachable, paused) = shards.partition(directory::isReachable)
+        // An owner that did not answer lately is asked again when nobody else is left, since a call may fail once
+        // without its owner being lost.
+        for (shard in reachable + paused) {
+            directory.endPause(shard)
             when (val outcome = acquireValid(shard, customer)) {
                 is LaneOutcome.Token -> return Ok(Unit)
                 is LaneOutcome.Refused -> return Err(refuse(customer, outcome.retryAfterMillis))
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitService.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitService.kt
@@ -112,7 +112,7 @@
         settings = settings,
     )
 
-    private val readiness = LimitReadiness(self, timer, directory)
+    private val readiness = LimitReadiness(self, directory)
 
     /** Whether accounts could be asked since the start; requests that come earlier would be refused. */
     val isReady: Boolean get() = readiness.isReady
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/OwnerDirectory.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/OwnerDirectory.kt
@@ -39,6 +39,11 @@
     /** Whether the owner of [shard] is known and has answered lately or not been asked. */
     fun isReachable(shard: LimitShardId): Boolean = members.ownerOf(shard)?.let { sourceOf(it.owner) } != null
 
+    /** Lets the owner of [shard] be asked although it did not answer lately. */
+    fun endPause(shard: LimitShardId) {
+        members.ownerOf(shard)?.let { failedAtNanos.remove(it.owner) }
+    }
+
     fun source(shard: LimitShardId): TokenSource? = members.ownerOf(shard)?.let { sourceOf(it.owner) }
 
     fun isOwnedBySelf(shard: LimitShardId): Boolean = members.ownerOf(shard)?.owner == self
--- a/node/src/main/kotlin/ragwortbarrow/node/Node.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Node.kt
@@ -24,6 +24,7 @@
 import ragwortbarrow.core.peer.PeerConnector
 import ragwortbarrow.core.routing.RoutedOnlineService
 import ragwortbarrow.core.store.SafeWriter
+import ragwortbarrow.core.time.StartupGate
 import ragwortbarrow.node.drain.Drain
 import ragwortbarrow.node.http.CallerParts
 import ragwortbarrow.node.http.HttpServer
@@ -118,6 +119,9 @@
         log = log,
         scope = scope,
     )
+
+    // Requests with a key would be refused before the key state is fresh and the accounts have owners.
+    private val admission = StartupGate(timer) { keys.isFresh() && limits.isReady }
     private val client = HttpBackendClient()
     private val online = RoutedOnlineService(
         client = client,
@@ -171,7 +175,7 @@
             timer = timer,
             log = log,
             keysLoaded = { keys.isLoaded },
-            limitsReady = { limits.isReady },
+            canAdmit = { admission.isOpen },
             bodyLimitBytes = settings.bodyLimitBytes,
             fileLimitBytes = settings.fileLimitBytes,
             requestTimeoutMillis = settings.requestTimeoutMillis,
--- a/node/src/main/kotlin/ragwortbarrow/node/http/CallerApi.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/http/CallerApi.kt
@@ -42,7 +42,7 @@
             parts.drain.isDraining -> "draining"
             parts.configuration.current == null -> "no configuration"
             !parts.keysLoaded() -> "no keys"
-            !parts.limitsReady() -> "no accounts"
+            !parts.canAdmit() -> "key state or accounts missing"
             else -> null
         }
         val status = if (reason == null) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
--- a/node/src/main/kotlin/ragwortbarrow/node/http/CallerParts.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/http/CallerParts.kt
@@ -23,8 +23,8 @@
     val log: DecisionLog,
     /** Whether keys can be checked; until then the node is not ready. */
     val keysLoaded: () -> Boolean = { true },
-    /** Whether the customers' accounts can be asked; until then the node is not ready. */
-    val limitsReady: () -> Boolean = { true },
+    /** Whether requests with a key can be admitted; until then the node is not ready. */
+    val canAdmit: () -> Boolean = { true },
     val bodyLimitBytes: Int? = null,
     val fileLimitBytes: Long = 64_000_000,
     val requestTimeoutMillis: Long = 60_000,
