--- a/cli/src/main/kotlin/ragwortbarrow/cli/RagwortbarrowCommand.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/RagwortbarrowCommand.kt
@@ -6,6 +6,12 @@
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.output.MordantHelpFormatter
 import com.github.ajalt.clikt.parameters.options.versionOption
+import ragwortbarrow.cli.bench.BatchBench
+import ragwortbarrow.cli.bench.LimitsBench
+import ragwortbarrow.cli.bench.OnlineBench
+import ragwortbarrow.cli.bench.RoutingBench
+import ragwortbarrow.cli.bench.SlopesBench
+import ragwortbarrow.cli.bench.YieldBench
 import ragwortbarrow.cli.call.CallCommand
 import ragwortbarrow.cli.dev.DevEngine
 import ragwortbarrow.cli.dev.DevPlatform
@@ -35,6 +41,14 @@
         DevService(),
         DevTraffic(),
     ),
+    CommandGroup("bench", "Measures the system and its policies.").subcommands(
+        OnlineBench(),
+        RoutingBench(),
+        LimitsBench(),
+        BatchBench(),
+        YieldBench(),
+        SlopesBench(),
+    ),
 )
 
 private class RagwortbarrowCommand : CliktCommand(name = "ragwortbarrow") {
