--- a/core/src/main/kotlin/ragwortbarrow/core/batch/SpareSlots.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/SpareSlots.kt
@@ -17,18 +17,21 @@
 internal class SpareSlots(
     private val timer: TimerService,
     private val headroomSlots: (BackendServer) -> Int = ::defaultHeadroomSlots,
-    private val toleranceMillis: Long = 50,
+    /** How much older than its stated age a load report may be; engines publish theirs with a lag. */
+    private val reportLagMillis: Long = 1_000,
     private val historyMillis: Long = 10_000,
     silenceMillis: Long = 3_000,
 ) {
     private val online = OnlineLoadTable(timer, silenceMillis)
     private val servers = HashMap<BackendServerId, ServerLoad>()
 
-    /** Batch items that [server] may run at this instant, those already running included. */
-    fun allowed(server: BackendServer): Int {
-        val unreported = servers[server.id]?.unreported ?: 0
-        return (server.slots - headroomSlots(server) - online.inFlight(server.id) - unreported).coerceAtLeast(0)
-    }
+    /** Batch items that may run on [server] beside the online requests that entry nodes reported. */
+    fun allowedBesideOnline(server: BackendServer): Int =
+        (server.slots - headroomSlots(server) - online.inFlight(server.id)).coerceAtLeast(0)
+
+    /** Batch items up to which [server] may be filled: unreported load counts as well. */
+    fun allowed(server: BackendServer): Int =
+        (allowedBesideOnline(server) - (servers[server.id]?.unreported ?: 0)).coerceAtLeast(0)
 
     fun onlineInFlight(server: BackendServerId): Int = online.inFlight(server)
 
@@ -48,7 +51,7 @@
     fun accept(server: BackendServerId, report: LoadReport) {
         val load = load(server)
         val madeAtMillis = timer.monotonicMillis() - report.ageMillis
-        val known = load.greatestKnown(madeAtMillis - toleranceMillis, madeAtMillis + toleranceMillis)
+        val known = load.greatestKnown(madeAtMillis - reportLagMillis, madeAtMillis)
         load.unreported = (report.running + report.waiting - known).coerceAtLeast(0)
     }
 
