Compare leases before building chunk names

Each pass over held chunks formatted a name for every chunk; names are now built only for chunks that may be taken over. The slopes skip the cost of loading classes.

--- a/cli/src/main/kotlin/ragwortbarrow/cli/bench/BatchSlopes.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/bench/BatchSlopes.kt
@@ -33,12 +33,18 @@
 )
 
 /** Measures memory and CPU of one node by the number of open jobs and chunks. */
-fun batchSlopes(): List<BatchSlope> = listOf(100 to 20, 500 to 20, 1_500 to 20).map { (jobs, chunksPerJob) ->
+fun batchSlopes(): List<BatchSlope> {
+    // The first measurement would otherwise count the classes that it loads.
+    NodeCost(10, 2)
+    return listOf(100, 500, 1_500).map { batchSlopeOf(it, chunksPerJob = 20) }
+}
+
+private fun batchSlopeOf(jobs: Int, chunksPerJob: Int): BatchSlope {
     val one = NodeCost(jobs, 1)
     val many = NodeCost(jobs, chunksPerJob)
     val bytesPerChunk = (many.bytes - one.bytes).toDouble() / (jobs * (chunksPerJob - 1))
     val items = jobs * chunksPerJob
-    BatchSlope(
+    return BatchSlope(
         jobs = jobs,
         chunks = jobs * chunksPerJob,
         bytesPerChunk = bytesPerChunk,
--- a/core/src/main/kotlin/ragwortbarrow/core/batch/BatchWorker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/batch/BatchWorker.kt
@@ -533,10 +533,8 @@
             leases.observe(suspects, restarted = suspects.filterTo(HashSet()) { it in live })
             lostChunks.clear()
             open.forEach { (job, chunk) ->
-                val name = BatchNames.chunkName(job.id, chunk.index)
                 val holder = chunk.holder
-                val ours = name in held || name in claiming.values
-                if (holder != null && !ours && mayTakeFrom(holder, chunk.holderIncarnation)) {
+                if (holder != null && mayTakeFrom(holder, chunk.holderIncarnation) && !isOurs(job, chunk)) {
                     lostChunks.getOrPut(job.id) { LinkedHashSet() } += chunk.index
                 }
             }
@@ -546,6 +544,11 @@
         pump()
     }
 
+    private fun isOurs(job: JobView, chunk: ChunkSummary): Boolean {
+        val name = BatchNames.chunkName(job.id, chunk.index)
+        return name in held || name in claiming.values
+    }
+
     private fun candidate(job: JobView): JobCandidate {
         val nowMillis = now
         val customer = job.record.customer
