--- a/node/src/main/kotlin/ragwortbarrow/node/Node.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Node.kt
@@ -24,10 +24,12 @@
 import ragwortbarrow.core.peer.PeerConnector
 import ragwortbarrow.core.routing.RoutedOnlineService
 import ragwortbarrow.core.store.SafeWriter
+import ragwortbarrow.core.time.StartupGate
 import ragwortbarrow.node.drain.Drain
 import ragwortbarrow.node.http.CallerParts
 import ragwortbarrow.node.http.HttpServer
 import ragwortbarrow.node.log.KeyValueLog
+import ragwortbarrow.node.metrics.NodeGauges
 import ragwortbarrow.node.metrics.NodeMetrics
 import ragwortbarrow.node.settings.Settings
 import ragwortbarrow.peer.GrpcPeerConnector
@@ -73,7 +75,7 @@
         configurationVersion = { configuration.status.appliedVersion },
         keysDigest = { keySync.keysDigest() },
         listener = { peer, message ->
-            configurationSync.versionSeen()
+            configurationSync.versionSeen(peer, message.configurationVersion)
             keySync.heard(peer, message.keysDigest)
         },
     )
@@ -117,6 +119,9 @@
         log = log,
         scope = scope,
     )
+
+    // Requests with a key would be refused before the key state is fresh and the accounts have owners.
+    private val admission = StartupGate(timer) { keys.isFresh() && limits.isReady }
     private val client = HttpBackendClient()
     private val online = RoutedOnlineService(
         client = client,
@@ -170,7 +175,7 @@
             timer = timer,
             log = log,
             keysLoaded = { keys.isLoaded },
-            limitsReady = { limits.isReady },
+            canAdmit = { admission.isOpen },
             bodyLimitBytes = settings.bodyLimitBytes,
             fileLimitBytes = settings.fileLimitBytes,
             requestTimeoutMillis = settings.requestTimeoutMillis,
@@ -181,7 +186,16 @@
     fun start() {
         peerServer.start()
         httpServer.start()
-        metrics.observe(members, configuration, limits, online, drain)
+        metrics.observe(
+            NodeGauges(
+                drain = drain,
+                liveMembers = { members.live().size },
+                platformAgeMillis = members::platformAgeMillis,
+                configurationVersion = { configuration.status.appliedVersion },
+                ownedShards = { limits.ownedShards.size },
+                waitingRequests = online::waiting,
+            ),
+        )
         online.loads.addListener(BatchLoadListener(batch))
         vmList.start()
         members.start()
