--- a/cli/src/main/kotlin/ragwortbarrow/cli/LimitsConfirmLostCommand.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/LimitsConfirmLostCommand.kt
@@ -22,8 +22,8 @@
 import java.util.UUID
 
 /**
- * `ragwortbarrow limits confirm-lost SHARD`: says that the owner and the standby of a limit shard have ended for good, so
- * that another node may claim it.
+ * `ragwortbarrow limits confirm-lost SHARD`: says that the owner and the standby of a limit shard have ended for good,
+ * so that another node may claim it.
  */
 class LimitsConfirmLostCommand : CliktCommand(name = "confirm-lost") {
     private val platform by PlatformOptions()
