--- a/cli/src/main/kotlin/ragwortbarrow/cli/ManifestApplyCommand.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/ManifestApplyCommand.kt
@@ -38,6 +38,10 @@
 
     override fun run() {
         val manifest = readManifest(file)
+        // Refused before anything is published, so that a manifest is applied whole or not at all.
+        if (manifest.batchJobs.isNotEmpty() && batchJobs == null) {
+            failWith("batchJobs: submitting the jobs of a manifest is not supported yet; use 'ragwortbarrow job submit'")
+        }
         platform.use {
             val published = ConfigurationPublisher(store, writer).publish(manifest, expectVersion)
             published.fold(
@@ -45,7 +49,7 @@
                 { failWith(it.message) },
             )
             if (!grantKeys(manifest)) throw ProgramResult(ExitCodes.REFUSED)
-            if (manifest.batchJobs.isNotEmpty()) submitBatchJobs(manifest)
+            batchJobs?.submit(this, manifest, file)?.onFailure { failWith(it) }
         }
     }
 
@@ -56,9 +60,4 @@
         refused.forEach { echo(it, err = true) }
         return refused.isEmpty()
     }
-
-    private suspend fun PlatformSession.submitBatchJobs(manifest: Manifest) {
-        val submit = batchJobs ?: failWith("the batch jobs of the manifest were not submitted: not supported here")
-        submit.submit(this, manifest, file).onFailure { failWith(it) }
-    }
 }
--- a/cli/src/test/kotlin/ragwortbarrow/cli/OperatorCommandsTest.kt
+++ b/cli/src/test/kotlin/ragwortbarrow/cli/OperatorCommandsTest.kt
@@ -86,6 +86,15 @@
         }
     }
 
+    @Test
+    fun `a manifest with batch jobs is refused before anything is published`() {
+        val jobs = "batchJobs:\n  - {id: night, customer: customer-1, inputFile: lots.jsonl}\n"
+        val applied = ManifestApplyCommand().run(file("jobs.yaml", manifest.trimEnd() + "\n" + jobs))
+        expectThat(applied.statusCode).isEqualTo(ExitCodes.REFUSED)
+        expectThat(applied.stderr).contains("batchJobs")
+        expectThat(server.calls.total).isEqualTo(0)
+    }
+
     @Test
     fun `status shows the version that a node rejected and why`() {
         ManifestApplyCommand().run(file("good.yaml", manifest))
