--- a/cli/src/main/kotlin/ragwortbarrow/cli/ManifestApplyCommand.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/ManifestApplyCommand.kt
@@ -40,7 +40,9 @@
         val manifest = readManifest(file)
         // Refused before anything is published, so that a manifest is applied whole or not at all.
         if (manifest.batchJobs.isNotEmpty() && batchJobs == null) {
-            failWith("batchJobs: submitting the jobs of a manifest is not supported yet; use 'ragwortbarrow job submit'")
+            failWith(
+                "batchJobs: submitting the jobs of a manifest is not supported yet; use 'ragwortbarrow job submit'",
+            )
         }
         platform.use {
             val published = ConfigurationPublisher(store, writer).publish(manifest, expectVersion)
