--- a/cli/src/main/kotlin/ragwortbarrow/cli/PlatformOptions.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/PlatformOptions.kt
@@ -8,8 +8,8 @@
 import ragwortbarrow.core.store.ObjectStore
 import ragwortbarrow.core.store.SafeWriter
 import ragwortbarrow.core.time.TimerService
-import ragwortbarrow.platform.HttpObjectStore
-import ragwortbarrow.platform.SystemTimerService
+import ragwortbarrow.objectapi.HttpObjectStore
+import ragwortbarrow.objectapi.SystemTimerService
 import java.util.UUID
 
 /** The options of every command that talks to the platform. */
--- a/cli/src/main/kotlin/ragwortbarrow/cli/dev/DevPlatform.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/dev/DevPlatform.kt
@@ -11,7 +11,7 @@
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.restrictTo
-import ragwortbarrow.platform.SystemTimerService
+import ragwortbarrow.objectapi.SystemTimerService
 import ragwortbarrow.standins.platform.PlatformFaults
 import ragwortbarrow.standins.platform.PlatformServer
 import ragwortbarrow.standins.platform.VmRecord
--- a/cli/src/test/kotlin/ragwortbarrow/cli/OperatorCommandsTest.kt
+++ b/cli/src/test/kotlin/ragwortbarrow/cli/OperatorCommandsTest.kt
@@ -21,7 +21,7 @@
 import ragwortbarrow.core.peer.PeerError
 import ragwortbarrow.core.peer.PeerService
 import ragwortbarrow.core.store.ObjectKind
-import ragwortbarrow.platform.SystemTimerService
+import ragwortbarrow.objectapi.SystemTimerService
 import ragwortbarrow.standins.platform.PlatformFaults
 import ragwortbarrow.standins.platform.PlatformServer
 import ragwortbarrow.standins.platform.VmRecord
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -0,0 +1,80 @@
+package ragwortbarrow.core.fleet
+
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.monotonicMillis
+
+/**
+ * The nodes of the fleet as this one knows them. A node that is silent for [silentMillis] counts as unreachable; it
+ * stays a member, since it may be alive behind a partition, until it has been silent for [forgetMillis].
+ */
+class FleetMembers(
+    val self: FleetNode,
+    private val timer: TimerService,
+    private val silentMillis: Long = 1_200,
+    private val forgetMillis: Long = 30_000,
+) {
+    private class Known(var node: FleetNode, var heardMillis: Long, var isLeaving: Boolean, var wasHeard: Boolean)
+
+    private val known = HashMap<VmId, Known>()
+
+    /** Other nodes that may be alive. */
+    fun others(): List<FleetNode> = known.values.map { it.node }
+
+    /** Other nodes that were heard of lately and are not leaving. */
+    fun reachable(): List<FleetNode> = known.values.filter { isHeard(it) && !it.isLeaving }.map { it.node }
+
+    /** Members that may be alive, this node included. */
+    val size: Int get() = known.size + 1
+
+    /** Members that have not been heard of lately. */
+    val silent: Int get() = known.values.count { !isHeard(it) }
+
+    fun isReachable(vm: VmId): Boolean = known[vm]?.let { isHeard(it) } ?: false
+
+    /** Whether the given start of a node may still be running. */
+    fun mayRun(vm: VmId, incarnation: Long): Boolean {
+        if (vm == self.vm) return incarnation == self.incarnation
+        val seen = known[vm] ?: return false
+        return seen.node.incarnation == incarnation && isHeard(seen) && !seen.isLeaving
+    }
+
+    /** A member was named by the store or by a peer; returns true if it is new. */
+    fun learned(node: FleetNode): Boolean {
+        if (node.vm == self.vm) return false
+        val seen = known[node.vm]
+        if (seen != null) {
+            if (node.incarnation > seen.node.incarnation) seen.node = node
+            return false
+        }
+        known[node.vm] = Known(node, timer.monotonicMillis(), isLeaving = false, wasHeard = false)
+        return true
+    }
+
+    /** A member spoke; returns true if it is new, or came back after a silence or a restart. */
+    fun heard(node: FleetNode, isLeaving: Boolean): Boolean {
+        if (node.vm == self.vm) return false
+        val seen = known[node.vm]
+        if (seen == null) {
+            known[node.vm] = Known(node, timer.monotonicMillis(), isLeaving, wasHeard = true)
+            return true
+        }
+        if (node.incarnation < seen.node.incarnation) return false
+        val isNews = !isHeard(seen) || !seen.wasHeard || node.incarnation != seen.node.incarnation
+        seen.node = node
+        seen.heardMillis = timer.monotonicMillis()
+        seen.isLeaving = isLeaving
+        seen.wasHeard = true
+        return isNews
+    }
+
+    /** Drops members that have been silent for long; returns them. */
+    fun forgetLost(): List<FleetNode> {
+        val nowMillis = timer.monotonicMillis()
+        val lost = known.values.filter { nowMillis - it.heardMillis > forgetMillis }.map { it.node }
+        lost.forEach { known.remove(it.vm) }
+        return lost
+    }
+
+    private fun isHeard(member: Known) = member.wasHeard && timer.monotonicMillis() - member.heardMillis <= silentMillis
+}
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/JobRecords.kt
@@ -0,0 +1,96 @@
+package ragwortbarrow.core.jobs
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.decodeFromJsonElement
+import kotlinx.serialization.json.encodeToJsonElement
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectStore
+import ragwortbarrow.core.store.SafeWriter
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.store.StoredObject
+import ragwortbarrow.core.store.listAll
+import ragwortbarrow.core.store.storeJson
+
+/** Batch jobs, their states and their results in the platform's store. */
+class JobRecords(private val store: ObjectStore, private val writer: SafeWriter) {
+    /** Stores [job]; [StoreError.AlreadyExists] if a job with its id was accepted before. */
+    suspend fun create(job: BatchJob): Result<Unit, StoreError> =
+        writer.create(ObjectKind.ENTRY_JOBS, job.id, storeJson.encodeToJsonElement(job) as JsonObject).map { }
+
+    suspend fun job(id: String): Result<BatchJob, StoreError> =
+        store.get(ObjectKind.ENTRY_JOBS, id).map { storeJson.decodeFromJsonElement<BatchJob>(it.spec) }
+
+    suspend fun jobs(): Result<List<BatchJob>, StoreError> = store.listAll(ObjectKind.ENTRY_JOBS).map { (objects, _) ->
+        objects.map { storeJson.decodeFromJsonElement<BatchJob>(it.spec) }
+    }
+
+    /** The states of all jobs that have one, by job. */
+    suspend fun states(): Result<Map<String, JobState>, StoreError> =
+        store.listAll(ObjectKind.ENTRY_JOB_STATES).map { (objects, _) -> objects.associate { it.name to it.state() } }
+
+    /** The state of a job; a job that nobody has taken over, cancelled or finished has the empty one. */
+    suspend fun state(id: String): Result<JobState, StoreError> = stored(id).map { it?.state() ?: JobState() }
+
+    /**
+     * Replaces the state of a job by [change] of it, again after a lost race. Returns the state that holds afterwards,
+     * which is the old one if [change] returns null.
+     */
+    suspend fun changeState(id: String, change: (JobState) -> JobState?): Result<JobState, StoreError> {
+        var failure: StoreError = StoreError.Conflict("the state of job $id keeps changing")
+        repeat(MAX_RACES) {
+            val current = stored(id).getOrElse { return Err(it) }
+            val before = current?.state() ?: JobState()
+            val after = change(before) ?: return Ok(before)
+            if (after == before) return Ok(before)
+            val spec = storeJson.encodeToJsonElement(after) as JsonObject
+            val written = if (current == null) {
+                writer.create(ObjectKind.ENTRY_JOB_STATES, id, spec)
+            } else {
+                writer.update(current, spec)
+            }
+            written.fold({ return Ok(after) }, { failure = it })
+            if (failure !is StoreError.Conflict && failure !is StoreError.AlreadyExists) return Err(failure)
+        }
+        return Err(failure)
+    }
+
+    /** Stores [chunk] under [number]; [StoreError.AlreadyExists] if another node has stored that number. */
+    suspend fun appendResults(id: String, number: Int, chunk: ResultChunk): Result<Unit, StoreError> = writer.create(
+        ObjectKind.ENTRY_RESULTS,
+        chunkName(id, number),
+        storeJson.encodeToJsonElement(chunk) as JsonObject,
+    )
+        .map { }
+
+    /** Adds the chunks of a job that are stored and missing in [log]. */
+    suspend fun readResults(id: String, log: ResultLog): Result<Unit, StoreError> {
+        while (!log.isFull) {
+            val chunk = store.get(ObjectKind.ENTRY_RESULTS, chunkName(id, log.nextChunk)).getOrElse {
+                return if (it is StoreError.NotFound) Ok(Unit) else Err(it)
+            }
+            log.add(storeJson.decodeFromJsonElement<ResultChunk>(chunk.spec))
+        }
+        return Ok(Unit)
+    }
+
+    private suspend fun stored(id: String): Result<StoredObject?, StoreError> =
+        store.get(ObjectKind.ENTRY_JOB_STATES, id).fold(
+            { Ok(it) },
+            { if (it is StoreError.NotFound) Ok(null) else Err(it) },
+        )
+
+    private fun StoredObject.state() = storeJson.decodeFromJsonElement<JobState>(spec)
+
+    private fun chunkName(id: String, number: Int) = "$id.$number"
+
+    private companion object {
+        /** Nodes that race for one state: the holder, a node that cancels and a node that takes over. */
+        const val MAX_RACES = 6
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ResultLog.kt
@@ -0,0 +1,34 @@
+package ragwortbarrow.core.jobs
+
+/**
+ * The results of one job in the order of their positions, as far as they are stored. Positions and contents never
+ * change: chunks are only ever created, each under the next number, so two nodes that both believe to run the job
+ * cannot both store a chunk of the same number.
+ */
+class ResultLog(val total: Int) {
+    private val stored = ArrayList<ItemResult>()
+    private val ids = HashSet<String>()
+
+    /** The number of the next chunk. */
+    var nextChunk: Int = 0
+        private set
+
+    val size: Int get() = stored.size
+
+    val isFull: Boolean get() = stored.size >= total
+
+    fun holds(item: String): Boolean = item in ids
+
+    fun from(position: Int): List<ItemResult> =
+        if (position >= stored.size) emptyList() else stored.subList(position.coerceAtLeast(0), stored.size).toList()
+
+    /** The chunk that stores [results] next, without those that have a position already. */
+    fun next(results: List<ItemResult>): ResultChunk =
+        ResultChunk(first = stored.size, results = results.filter { it.id !in ids })
+
+    /** Adds the chunk with the number [nextChunk]. Results that have a position already keep that position only. */
+    fun add(chunk: ResultChunk) {
+        nextChunk++
+        for (result in chunk.results) if (ids.add(result.id)) stored += result
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -0,0 +1,111 @@
+package ragwortbarrow.core.placement
+
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.FailureDomainId
+import kotlin.math.ceil
+import kotlin.random.Random
+
+/** Where a request goes, or why it goes nowhere. */
+sealed interface Placement {
+    /** Send to [server]; [waitMillis] is how long it is expected to queue there. */
+    data class Send(val server: BackendServer, val waitMillis: Double) : Placement
+
+    /** No server of the service can be used now. */
+    data class NoServer(val retryAfterMillis: Long) : Placement
+
+    /** Every server is so full that the answer would come after its target. */
+    data class Full(val waitMillis: Double, val retryAfterMillis: Long) : Placement
+}
+
+/** The inputs of one placement. */
+data class PlacementRequest(
+    val service: String,
+    /** What is left of the time within which the answer has its full value. */
+    val targetLeftMillis: Double,
+    /** What is left until the caller gives up. */
+    val deadlineLeftMillis: Long,
+    val priority: Int = 0,
+    val except: Set<BackendServerId> = emptySet(),
+)
+
+/**
+ * Chooses the backend server for an online request, or turns the request away.
+ *
+ * Load pattern: arrivals jump to five times their rate within a second and stay there for some seconds. Backend servers
+ * admit in order of arrival, so a request that is sent to a full server delays all after it. A request whose first byte
+ * would come after its target is worth little to its caller, and a slot that it takes makes the next ones late too.
+ * Such a request is turned away at once, while its caller still has time to come back.
+ *
+ * Several nodes choose at the same time from loads that are some hundred milliseconds old. Ties and near ties are
+ * therefore broken at random, so that they do not all choose the same server.
+ */
+class OnlinePlacement(
+    private val board: ServerBoard,
+    private val holds: HoldTimes,
+    private val ownDomain: FailureDomainId,
+    private val random: Random = Random.Default,
+) {
+    fun place(request: PlacementRequest): Placement {
+        val candidates = board.eligible(request.service, request.except)
+        if (candidates.isEmpty()) return fallback(request)
+        val best = candidates.minBy { score(it) }
+        val waitMillis = waitMillis(best)
+        val expectedMillis = waitMillis + holds.firstByteMillis(request.service)
+        val isLate = expectedMillis > request.targetLeftMillis * TARGET_SHARE
+        val isHopeless = expectedMillis > request.deadlineLeftMillis
+        // A caller with less time than the shortest pause cannot come back, so a late answer is its only answer.
+        val canReturn = request.deadlineLeftMillis / RETRY_SHARE >= MIN_RETRY_MILLIS
+        return when {
+            isHopeless || (isLate && canReturn && waitMillis > 0) ->
+                Placement.Full(waitMillis, retryAfterMillis(waitMillis, request))
+            !board.tryUse(best.id) -> fallback(request.copy(except = request.except + best.id))
+            else -> Placement.Send(best, waitMillis)
+        }
+    }
+
+    /** How long a new request would wait at [server] before it runs. */
+    fun waitMillis(server: BackendServer): Double {
+        val ahead = board.occupancy(server.id).total - server.slots + 1
+        return if (ahead <= 0) 0.0 else ahead * holds.holdMillis(server.service) / server.slots
+    }
+
+    private fun score(server: BackendServer): Double {
+        val load = board.occupancy(server.id).total.toDouble() / server.slots
+        val remote = if (server.failureDomain == ownDomain) 0.0 else REMOTE_PENALTY
+        return load + remote + random.nextDouble() * TIE_SPREAD
+    }
+
+    /** With every server paused after failures, one is still tried, because pauses may outlast the cause. */
+    private fun fallback(request: PlacementRequest): Placement {
+        val known = board.known(request.service).filter { it.id !in request.except }
+        val trial = known.filter { board.ownOccupancy(it.id).total == 0 }.randomOrNull(random)
+        return if (trial == null || board.eligible(request.service, request.except).isNotEmpty()) {
+            Placement.NoServer(MIN_RETRY_MILLIS)
+        } else {
+            Placement.Send(trial, 0.0)
+        }
+    }
+
+    private fun retryAfterMillis(waitMillis: Double, request: PlacementRequest): Long {
+        val seconds = ceil(waitMillis / MIN_RETRY_MILLIS).toLong().coerceAtLeast(1)
+        val longest = (request.deadlineLeftMillis / RETRY_SHARE).toLong()
+        return (seconds * MIN_RETRY_MILLIS).coerceAtMost(maxOf(longest, MIN_RETRY_MILLIS))
+    }
+
+    private companion object {
+        /** Share of the target that waiting and the first byte may take; the rest is network and scatter. */
+        const val TARGET_SHARE = 0.85
+
+        /** In units of a full server: a remote server is chosen when it is this much emptier than a local one. */
+        const val REMOTE_PENALTY = 0.25
+
+        /** In units of a full server: loads this close count as equal, about one request of eight. */
+        const val TIE_SPREAD = 0.12
+
+        /** Whole seconds are what `Retry-After` can say. */
+        const val MIN_RETRY_MILLIS = 1_000L
+
+        /** Callers wait for at most this part of the time that they have left. */
+        const val RETRY_SHARE = 3.0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -0,0 +1,99 @@
+package ragwortbarrow.core.placement
+
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.routing.ServerHealth
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.monotonicMillis
+
+/**
+ * What this node knows of the backend servers: the newest list, its own requests in flight, and what the other nodes
+ * last said of theirs. Confined to one thread.
+ */
+class ServerBoard(private val timer: TimerService, private val health: ServerHealth = ServerHealth(timer)) {
+    private var servers = emptyMap<BackendServerId, BackendServer>()
+    private var byService = emptyMap<String, List<BackendServer>>()
+    private val own = HashMap<BackendServerId, Occupancy>()
+    private val peers = HashMap<VmId, Map<BackendServerId, Occupancy>>()
+    private var peerTotals = emptyMap<BackendServerId, Occupancy>()
+    private val blockedUntilMillis = HashMap<BackendServerId, Long>()
+
+    /** Replaces the list of servers. */
+    fun replace(list: Collection<BackendServer>) {
+        servers = list.associateBy { it.id }
+        byService = list.groupBy { it.service }
+        health.retain(servers.keys)
+        blockedUntilMillis.keys.retainAll(servers.keys)
+    }
+
+    fun server(id: BackendServerId): BackendServer? = servers[id]
+
+    fun all(): Collection<BackendServer> = servers.values
+
+    /** Servers of [service] that may get a new request, apart from [except]. */
+    fun eligible(service: String, except: Set<BackendServerId> = emptySet()): List<BackendServer> {
+        val ofService = byService[service] ?: return emptyList()
+        val nowMillis = timer.monotonicMillis()
+        val usable = ofService.filter {
+            !it.isDraining && it.id !in except && (blockedUntilMillis[it.id] ?: 0) <= nowMillis
+        }
+        return usable.filter { health.isUsable(it.id) }
+    }
+
+    /** All servers of [service] that are not leaving, also those that failed lately. */
+    fun known(service: String): List<BackendServer> = byService[service].orEmpty().filter { !it.isDraining }
+
+    /** Requests at [server], of this node and as far as known of all others. */
+    fun occupancy(server: BackendServerId): Occupancy = ownOccupancy(server) + (peerTotals[server] ?: NONE)
+
+    fun ownOccupancy(server: BackendServerId): Occupancy = own[server] ?: NONE
+
+    /** This node's own requests in flight, without idle servers. */
+    fun ownLoads(): Map<BackendServerId, Occupancy> = own.filterValues { it.total > 0 }
+
+    fun began(server: BackendServerId, isBatch: Boolean) = count(server, isBatch, 1)
+
+    fun ended(server: BackendServerId, isBatch: Boolean) = count(server, isBatch, -1)
+
+    fun succeeded(server: BackendServerId) = health.succeeded(server)
+
+    fun failed(server: BackendServerId) = health.failed(server)
+
+    /** Claims the one trial request after a failure; true also for a server without failures. */
+    fun tryUse(server: BackendServerId): Boolean = health.tryUse(server)
+
+    /** The server said that it is full; it gets nothing new for [millis]. */
+    fun block(server: BackendServerId, millis: Long) {
+        blockedUntilMillis[server] = timer.monotonicMillis() + millis
+    }
+
+    /** Takes over what [peer] says of its requests in flight. */
+    fun peerLoads(peer: VmId, loads: Map<BackendServerId, Occupancy>) {
+        peers[peer] = loads
+        sumPeers()
+    }
+
+    fun forgetPeer(peer: VmId) {
+        if (peers.remove(peer) != null) sumPeers()
+    }
+
+    private fun sumPeers() {
+        val totals = HashMap<BackendServerId, Occupancy>()
+        for (loads in peers.values) for ((server, load) in loads) totals.merge(server, load, Occupancy::plus)
+        peerTotals = totals
+    }
+
+    private fun count(server: BackendServerId, isBatch: Boolean, change: Int) {
+        val before = own[server] ?: NONE
+        val after = if (isBatch) {
+            before.copy(batch = before.batch + change)
+        } else {
+            before.copy(online = before.online + change)
+        }
+        if (after.total > 0) own[server] = after else own.remove(server)
+    }
+
+    private companion object {
+        val NONE = Occupancy()
+    }
+}
--- a/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
@@ -29,6 +29,7 @@
     private val elected: () -> Boolean,
     private val changed: suspend (StoredObject) -> Unit,
     private val listed: suspend (List<StoredObject>) -> Unit = { objects -> objects.forEach { changed(it) } },
+    private val removed: suspend (name: String, version: Long) -> Unit = { _, _ -> },
     private val confirmed: suspend (askedAtNanos: Long) -> Unit = {},
     private val decisionLog: DecisionLog = DecisionLog.NONE,
     /** A node that has just started knows no other member yet and would always be elected. */
@@ -82,7 +83,11 @@
     private suspend fun watch(progress: Progress) {
         try {
             store.watch(kind, progress.version).collect { event ->
-                if (event is WatchEvent.Changed) changed(event.stored)
+                when (event) {
+                    is WatchEvent.Changed -> changed(event.stored)
+                    is WatchEvent.Deleted -> removed(event.name, event.version)
+                    is WatchEvent.Bookmark -> Unit
+                }
                 progress.version = maxOf(progress.version, event.versionOf())
             }
             progress.ended = "the platform closed the watch"
--- a/core/src/main/kotlin/ragwortbarrow/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/ObjectStore.kt
@@ -59,6 +59,19 @@
     BATCH_CHUNKS("batchchunks"),
     PLACEMENTS("placements"),
 
+    /** Batch jobs that entry nodes accepted, their states and their results. */
+    ENTRY_JOBS("entryjobs"),
+    ENTRY_JOB_STATES("entryjobstates"),
+    ENTRY_RESULTS("entryresults"),
+
+    /** Entry nodes by VM. */
+    ENTRY_NODES("entrynodes"),
+
+    /** What the operators publish on their platform: configuration, backend servers, storage VMs to be emptied. */
+    PUBLISHED_CONFIGURATIONS("publishedconfigurations"),
+    BACKEND_SERVERS("backendservers"),
+    VM_RETIREMENTS("vmretirements"),
+
     /** The platform's lagging list of VMs; read-only. */
     VMS("vms"),
 }
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/traffic/RoutingTable.kt
@@ -0,0 +1,22 @@
+package ragwortbarrow.core.traffic
+
+/** One version of the configuration, prepared for look-ups. It never changes; a newer version is a new table. */
+class RoutingTable(
+    val version: Long,
+    val routes: List<Route>,
+    val services: Map<String, ServiceSpec>,
+    val customers: List<CustomerAccount>,
+    val limits: CallerLimits,
+) {
+    private val routesByHost = routes.groupBy { it.host }
+        .mapValues { (_, ofHost) -> ofHost.sortedByDescending { it.pathPrefix.length } }
+    private val customersByKey = customers.flatMap { customer -> customer.keys.map { it to customer } }.toMap()
+
+    /** Whether requests need a key unless their route is public. */
+    val needsKeys: Boolean get() = customers.isNotEmpty()
+
+    /** The route of [host] with the longest prefix that begins [path]. */
+    fun route(host: String, path: String): Route? = routesByHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    fun customer(key: String): CustomerAccount? = customersByKey[key]
+}
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
@@ -0,0 +1,62 @@
+package ragwortbarrow.entry
+
+import io.netty.handler.codec.http.HttpResponse
+import ragwortbarrow.core.placement.BackendServer
+import ragwortbarrow.core.placement.ServerBoard
+import ragwortbarrow.http.HttpAnswer
+import ragwortbarrow.http.HttpClientConnection
+import ragwortbarrow.http.HttpClientPool
+import ragwortbarrow.http.HttpFailure
+import ragwortbarrow.http.HttpRequestMessage
+
+/** The head of an answer, decoded, and the rest of it as it comes. */
+class EngineAnswer(val head: AnswerHead, val response: HttpResponse, val body: HttpAnswer)
+
+/**
+ * One request on one backend server. [run] counts it on the board for as long as it lasts and closes its connection
+ * unless the answer was read to its end, so that the server stops work that nobody waits for.
+ */
+class EngineCalls(
+    private val pool: HttpClientPool,
+    private val board: ServerBoard,
+    private val protocol: EntryProtocol,
+) {
+    /**
+     * Sends [request] to [server] and hands the answer to [read]. Throws [HttpFailure]. With [onlyFresh] a kept
+     * connection is used only shortly after its last answer: a request that may not run twice cannot be repeated when
+     * the server has closed the connection meanwhile.
+     */
+    suspend fun <T> run(
+        server: BackendServer,
+        request: HttpRequestMessage,
+        requestId: String,
+        isBatch: Boolean,
+        onlyFresh: Boolean,
+        read: suspend (EngineAnswer) -> T,
+    ): T {
+        board.began(server.id, isBatch)
+        var connection: HttpClientConnection? = null
+        try {
+            connection = pool.acquire(server.address, if (onlyFresh) FRESH_SHARE else KEPT_SHARE)
+            val answer = connection.send(request) { protocol.belongs(it, requestId) }
+            val response = answer.head()
+            val result = read(EngineAnswer(protocol.answerHead(response), response, answer))
+            pool.release(connection)
+            connection = null
+            return result
+        } catch (failure: HttpFailure) {
+            board.failed(server.id)
+            pool.drop(server.address)
+            throw failure
+        } finally {
+            connection?.close()
+            board.ended(server.id, isBatch)
+        }
+    }
+
+    private companion object {
+        /** Shares of a server's keep-alive time within which a kept connection is used again. */
+        const val KEPT_SHARE = 0.8
+        const val FRESH_SHARE = 0.5
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
@@ -0,0 +1,52 @@
+package ragwortbarrow.entry
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import ragwortbarrow.core.error.ResultCode
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/** Counters and latency histograms of an entry node. */
+class EntryMetrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val requests = HashMap<Pair<String, Int>, Timer>()
+    private val firstEvents = HashMap<String, Timer>()
+    private val refusals = HashMap<ResultCode, Counter>()
+    private val counters = HashMap<String, Counter>()
+
+    fun requestFinished(route: String, status: Int, nanos: Long) = requests.getOrPut(route to status) {
+        Timer.builder("ragwortbarrow.entry.request").description("Time of callers' requests")
+            .tag("route", route).tag("status", status.toString())
+            .serviceLevelObjectives(*BUCKETS).register(registry)
+    }.record(nanos, TimeUnit.NANOSECONDS)
+
+    fun firstEvent(route: String, nanos: Long) = firstEvents.getOrPut(route) {
+        Timer.builder("ragwortbarrow.entry.first.event").description("Time to the first event of a stream")
+            .tag("route", route).serviceLevelObjectives(*BUCKETS).register(registry)
+    }.record(nanos, TimeUnit.NANOSECONDS)
+
+    fun refused(code: ResultCode) = refusals.getOrPut(code) {
+        Counter.builder("ragwortbarrow.entry.refusals").description("Refusals that callers were told of")
+            .tag("code", code.name).register(registry)
+    }.increment()
+
+    /** Counts one event of the given name, such as `platform_calls` or `batch_items_stopped`. */
+    fun count(name: String) = counters.getOrPut(name) {
+        Counter.builder("ragwortbarrow.entry.$name").register(registry)
+    }.increment()
+
+    fun gauge(name: String, description: String, value: () -> Number) {
+        Gauge.builder("ragwortbarrow.entry.$name", value).description(description).register(registry)
+    }
+
+    fun scrape(): String = registry.scrape()
+
+    private companion object {
+        val BUCKETS: Array<Duration> =
+            longArrayOf(5, 10, 25, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 5_000)
+                .map { Duration.ofMillis(it) }.toTypedArray()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
@@ -0,0 +1,19 @@
+package ragwortbarrow.entry
+
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+
+/** What an entry node learns from its settings. Addresses are `IP:PORT`. */
+data class EntrySettings(
+    val vm: VmId,
+    val failureDomain: FailureDomainId,
+    val callerAddress: String,
+    val healthAddress: String,
+    val peerAddress: String,
+    /** Peer addresses of some nodes, which may be out of date. */
+    val seedAddresses: List<String> = emptyList(),
+    /** The window over which a customer's rate is counted. */
+    val rateWindowMillis: Long = 5_000,
+    /** Time between SIGTERM and SIGKILL. */
+    val stopGraceMillis: Long = 8_000,
+)
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EventSplitter.kt
@@ -0,0 +1,52 @@
+package ragwortbarrow.entry
+
+import java.io.ByteArrayOutputStream
+
+/** One whole event of a stream: its bytes as they came, its id, and its data lines joined by line feeds. */
+class StreamEvent(val bytes: ByteArray, val id: Long?, val data: String)
+
+/** Cuts a stream of bytes into whole events; the bytes of an event that has not ended are kept back. */
+class EventSplitter {
+    private var pending = ByteArrayOutputStream()
+    private var atLineStart = true
+
+    /** Bytes of an event that has begun and not ended. */
+    val hasPartialEvent: Boolean get() = pending.size() > 0
+
+    /** The events that end within [bytes]. */
+    fun add(bytes: ByteArray): List<StreamEvent> {
+        val events = ArrayList<StreamEvent>(1)
+        for (byte in bytes) {
+            pending.write(byte.toInt())
+            when (byte) {
+                LINE_FEED -> {
+                    if (atLineStart && pending.size() > 1) events += cut()
+                    atLineStart = true
+                }
+                CARRIAGE_RETURN -> Unit
+                else -> atLineStart = false
+            }
+        }
+        return events
+    }
+
+    private fun cut(): StreamEvent {
+        val bytes = pending.toByteArray()
+        pending = ByteArrayOutputStream()
+        var id: Long? = null
+        var data: StringBuilder? = null
+        for (line in bytes.decodeToString().lineSequence().map { it.removeSuffix("\r") }) {
+            val value = line.substringAfter(':', "").removePrefix(" ")
+            when (line.substringBefore(':')) {
+                "id" -> id = value.toLongOrNull()
+                "data" -> data = data?.append('\n')?.append(value) ?: StringBuilder(value)
+            }
+        }
+        return StreamEvent(bytes, id, data?.toString().orEmpty())
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
@@ -0,0 +1,290 @@
+package ragwortbarrow.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.withTimeoutOrNull
+import ragwortbarrow.core.error.Execution
+import ragwortbarrow.core.error.ResultCode
+import ragwortbarrow.core.error.ServingError
+import ragwortbarrow.core.fleet.FleetConnector
+import ragwortbarrow.core.fleet.FleetMembers
+import ragwortbarrow.core.fleet.FleetNode
+import ragwortbarrow.core.fleet.FleetPeer
+import ragwortbarrow.core.fleet.ItemBody
+import ragwortbarrow.core.fleet.JobPage
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.jobs.BatchItem
+import ragwortbarrow.core.jobs.BatchJob
+import ragwortbarrow.core.jobs.ItemResult
+import ragwortbarrow.core.jobs.JobHolder
+import ragwortbarrow.core.jobs.JobRecords
+import ragwortbarrow.core.jobs.ResultLog
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.log.record
+import ragwortbarrow.core.peer.PeerError
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.time.NANOS_PER_MILLI
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.traffic.CustomerAccount
+import ragwortbarrow.core.traffic.Route
+import ragwortbarrow.http.HttpReply
+import ragwortbarrow.http.HttpRequestMessage
+import java.util.Base64
+
+/**
+ * Takes callers' calls for batch jobs at any node. A job is acknowledged once it is stored. Results are read at the node
+ * that runs the job, and from the store when that node cannot be reached; only the store's word makes a job unknown.
+ */
+class JobDesk(
+    private val runner: JobRunner,
+    private val records: JobRecords,
+    private val members: FleetMembers,
+    private val connector: FleetConnector,
+    private val endedJobs: EndedJobs,
+    private val protocol: EntryProtocol,
+    private val timer: TimerService,
+    private val log: DecisionLog,
+) {
+    /** A job that another node runs, as this node last knew it. */
+    private class Remote(val job: BatchJob, val holder: JobHolder, val results: ResultLog)
+
+    private val remotes = object : LinkedHashMap<String, Remote>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, Remote>) = size > MAX_REMOTES
+    }
+
+    suspend fun submit(
+        message: HttpRequestMessage,
+        head: CallerHead,
+        route: Route,
+        customer: CustomerAccount?,
+        arrivedNanos: Long,
+        reply: HttpReply,
+    ) {
+        val items = protocol.batchItems(message.body)
+            ?: return refuse(head, reply, ResultCode.MALFORMED_BODY, "the body is not a list of items")
+        val self = members.self
+        val job = BatchJob(
+            id = head.requestId,
+            host = head.host,
+            path = head.path,
+            customer = customer?.id?.value.orEmpty(),
+            submittedWallMillis = timer.wallMillis(),
+            items = items,
+            holder = JobHolder(self.vm.value, self.incarnation),
+        )
+        records.create(job).fold(
+            {
+                runner.hold(job, ResultLog(items.size))
+                accepted(head, reply, route, items.size, "stored", arrivedNanos)
+            },
+            { error ->
+                when (error) {
+                    is StoreError.AlreadyExists -> accepted(head, reply, route, items.size, "known", arrivedNanos)
+                    is StoreError.OutcomeUnknown -> reply.refuse(
+                        ServingError.BackendFailed(
+                            ResultCode.BACKEND_TIMEOUT,
+                            error.message,
+                            Execution.UNKNOWN,
+                        ),
+                    )
+                    else -> refuse(head, reply, ResultCode.PLATFORM_UNAVAILABLE, error.message)
+                }
+            },
+        )
+    }
+
+    suspend fun readResults(call: CallerCall.ReadResults, head: CallerHead, customer: String, reply: HttpReply) {
+        val page = page(call.job, customer, call.after, call.waitMillis.coerceIn(0, MAX_WAIT_MILLIS))
+        page.fold(
+            {
+                if (it == null) {
+                    refuse(head, reply, ResultCode.NOT_FOUND, "no job ${call.job}")
+                } else {
+                    reply.whole(200, JSON, protocol.resultsPage(it.total, call.after, it.results.limited()))
+                }
+            },
+            { refuse(head, reply, ResultCode.PLATFORM_UNAVAILABLE, it.message) },
+        )
+    }
+
+    suspend fun readItem(call: CallerCall.ReadItem, head: CallerHead, customer: String, reply: HttpReply) {
+        val found = item(call.job, customer, call.item)
+        found.fold(
+            { body ->
+                if (body == null) {
+                    refuse(head, reply, ResultCode.NOT_FOUND, "no item ${call.item} in job ${call.job}")
+                } else {
+                    reply.whole(200, DefaultHttpHeaders(), body)
+                }
+            },
+            { refuse(head, reply, ResultCode.PLATFORM_UNAVAILABLE, it.message) },
+        )
+    }
+
+    suspend fun end(call: CallerCall.EndJob, head: CallerHead, customer: String, reply: HttpReply) {
+        val job = runner.held(call.job)?.job ?: remote(call.job).fold({ it?.job }, {
+            return refuse(head, reply, ResultCode.PLATFORM_UNAVAILABLE, it.message)
+        })
+        if (job == null || job.customer != customer) {
+            return refuse(head, reply, ResultCode.NOT_FOUND, "no job ${call.job}")
+        }
+        records.changeState(call.job) { it.copy(isEnded = true) }.fold(
+            {
+                endedJobs.add(call.job)
+                tellHolder(call.job)
+                log.record("job_end_acknowledged", "request_id" to head.requestId, "job" to call.job)
+                reply.whole(200, JSON, EMPTY_OBJECT)
+            },
+            { refuse(head, reply, ResultCode.PLATFORM_UNAVAILABLE, it.message) },
+        )
+    }
+
+    /** Results at this node for a peer; null if it does not run the job. */
+    internal suspend fun heldPage(job: String, customer: String, after: Int, waitMillis: Long): JobPage? {
+        val held = runner.held(job) ?: return null
+        if (held.job.customer != customer) return null
+        if (held.log.size <= after && !held.log.isFull && !held.isEnded && waitMillis > 0) {
+            withTimeoutOrNull(waitMillis) { while (held.log.size <= after && !held.isEnded) held.changed() }
+        }
+        return JobPage(held.job.items.size, held.log.from(after).limited())
+    }
+
+    /** The body of an item for a peer. */
+    internal fun heldItem(job: String, customer: String, item: String): ItemBody {
+        val held = runner.held(job)
+        if (held == null || held.job.customer != customer) return ItemBody(isHeld = false)
+        return ItemBody(isHeld = true, body = held.job.body(item))
+    }
+
+    private suspend fun page(
+        job: String,
+        customer: String,
+        after: Int,
+        waitMillis: Long,
+    ): Result<JobPage?, StoreError> {
+        heldPage(job, customer, after, waitMillis)?.let { return Ok(it) }
+        val remote = remote(job).getOrElse { return Err(it) }
+        if (remote == null || remote.job.customer != customer) return Ok(null)
+        if (!remote.results.isFull) {
+            val fromPeer = askHolder(remote) { it.readResults(job, customer, after, waitMillis) }
+            if (fromPeer != null) return Ok(fromPeer)
+            remotes.remove(job)
+            records.readResults(job, remote.results).fold({}, { return Err(it) })
+        }
+        return Ok(JobPage(remote.job.items.size, remote.results.from(after)))
+    }
+
+    private suspend fun item(job: String, customer: String, item: String): Result<ByteArray?, StoreError> {
+        val held = heldItem(job, customer, item)
+        if (held.isHeld) return Ok(held.body)
+        val remote = remote(job).getOrElse { return Err(it) }
+        val body = if (remote?.job?.customer == customer) remote.job.body(item) else null
+        return Ok(body)
+    }
+
+    /** The job as the store has it, with the node that runs it; null if there is no such job. */
+    private suspend fun remote(id: String): Result<Remote?, StoreError> {
+        remotes[id]?.let { if (members.mayRun(it.holder)) return Ok(it) }
+        val job = remotes[id]?.job ?: records.job(id).getOrElse {
+            return if (it is StoreError.NotFound) {
+                Ok(null)
+            } else {
+                Err(it)
+            }
+        }
+        var holder = job.holder
+        if (!members.mayRun(holder)) {
+            val state = records.state(id).getOrElse { return Err(it) }
+            holder = state.holder ?: holder
+        }
+        val results = remotes[id]?.results ?: ResultLog(job.items.size)
+        return Ok(Remote(job, holder, results).also { remotes[id] = it })
+    }
+
+    private suspend fun <T> askHolder(remote: Remote, ask: suspend (FleetPeer) -> Result<T?, PeerError>): T? {
+        val node = node(remote.holder) ?: return null
+        return ask(connector.connect(node.address)).fold(
+            { it },
+            {
+                log.record("holder_not_reached", "job" to remote.job.id, "vm" to node.vm, "reason" to it)
+                null
+            },
+        )
+    }
+
+    private suspend fun tellHolder(job: String) {
+        if (runner.end(job)) return
+        val remote = remotes[job] ?: return
+        askHolder(remote) { it.endJob(job) }
+    }
+
+    private fun node(holder: JobHolder): FleetNode? =
+        if (members.mayRun(holder)) members.others().firstOrNull { it.vm.value == holder.vm } else null
+
+    private fun accepted(
+        head: CallerHead,
+        reply: HttpReply,
+        route: Route,
+        items: Int,
+        how: String,
+        arrivedNanos: Long,
+    ) {
+        log.record(
+            "job_accepted",
+            "request_id" to head.requestId,
+            "route" to route.name,
+            "items" to items,
+            "how" to how,
+            "total_ms" to (timer.nanoTime() - arrivedNanos) / NANOS_PER_MILLI,
+        )
+        reply.whole(202, JSON, EMPTY_OBJECT)
+    }
+
+    private fun refuse(head: CallerHead, reply: HttpReply, code: ResultCode, message: String) {
+        log.record(
+            "refused",
+            "request_id" to head.requestId,
+            "path" to head.path,
+            "code" to code.number,
+            "reason" to message,
+        )
+        val retryAfterMillis = if (code == ResultCode.PLATFORM_UNAVAILABLE) RETRY_MILLIS else null
+        reply.refuse(ServingError.Unavailable(code, message, retryAfterMillis))
+    }
+
+    private companion object {
+        val JSON = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        val EMPTY_OBJECT = "{}".encodeToByteArray()
+
+        /** Jobs of other nodes that are remembered with their bodies, of some 15 KB each. */
+        const val MAX_REMOTES = 200
+
+        /** The longest wait for results; callers allow for a second. */
+        const val MAX_WAIT_MILLIS = 1_000L
+
+        const val RETRY_MILLIS = 1_000L
+    }
+}
+
+/** A page holds at most about 1 MB, and at least one result. */
+private fun List<ItemResult>.limited(): List<ItemResult> {
+    var sizeBytes = 0
+    return takeWhile { result ->
+        val isFirst = sizeBytes == 0
+        sizeBytes += result.output.length + RESULT_OVERHEAD_BYTES
+        isFirst || sizeBytes <= MAX_PAGE_BYTES
+    }
+}
+
+private fun BatchJob.body(item: String): ByteArray? =
+    items.firstOrNull { it.id == item }?.let(BatchItem::bodyBase64)?.let { Base64.getDecoder().decode(it) }
+
+internal fun FleetMembers.mayRun(holder: JobHolder): Boolean = mayRun(VmId(holder.vm), holder.incarnation)
+
+private const val MAX_PAGE_BYTES = 900_000
+private const val RESULT_OVERHEAD_BYTES = 100
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -0,0 +1,317 @@
+package ragwortbarrow.entry
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import ragwortbarrow.core.fleet.FleetMembers
+import ragwortbarrow.core.jobs.BatchJob
+import ragwortbarrow.core.jobs.ItemProgress
+import ragwortbarrow.core.jobs.JobHolder
+import ragwortbarrow.core.jobs.JobRecords
+import ragwortbarrow.core.jobs.ResultLog
+import ragwortbarrow.core.jobs.RunOutcome
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.log.record
+import ragwortbarrow.core.placement.BackendServer
+import ragwortbarrow.core.placement.BatchPlacement
+import ragwortbarrow.core.placement.ServerBoard
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.pause
+import ragwortbarrow.core.traffic.Route
+import ragwortbarrow.http.HttpFailure
+
+/**
+ * Runs the batch jobs that this node holds: starts items in spare slots, oldest job first, stores results in the order
+ * in which they arrive, and stops items when online requests need their slots.
+ */
+class JobRunner(
+    private val parts: Parts,
+    private val protocol: EntryProtocol,
+    private val timer: TimerService,
+    private val scope: CoroutineScope,
+    private val metrics: EntryMetrics,
+    private val log: DecisionLog,
+) {
+    class Parts(
+        val configuration: ConfigurationHolder,
+        val members: FleetMembers,
+        val board: ServerBoard,
+        val placement: BatchPlacement,
+        val engines: EngineCalls,
+        val records: JobRecords,
+    )
+
+    private val held = LinkedHashMap<String, HeldJob>()
+    private var isStopping = false
+
+    internal fun held(id: String): HeldJob? = held[id]
+
+    /** Items that run now, and those that wait. */
+    val runningItems: Int get() = held.values.sumOf { it.running.size }
+    val waitingItems: Int get() = held.values.sumOf { it.waiting.size }
+
+    /** Begins or goes on with [job], of which [results] are stored. */
+    fun hold(job: BatchJob, results: ResultLog) {
+        if (job.id in held || isStopping) return
+        val route = route(job)
+        held[job.id] = HeldJob(job, results, route?.maxAttempts ?: 1)
+        log.record("job_held", "job" to job.id, "items" to job.items.size, "stored" to results.size)
+        schedule()
+    }
+
+    /** The job was cancelled: its items stop, and no more results are stored than have arrived. */
+    fun end(id: String): Boolean {
+        val job = held[id] ?: return false
+        if (job.isEnded) return true
+        job.isEnded = true
+        job.waiting.clear()
+        job.running.values.forEach { it.job?.cancel() }
+        job.wakeReaders()
+        log.record("job_ended", "job" to id, "stored" to job.log.size, "total" to job.job.items.size)
+        return true
+    }
+
+    /** Stops this node's items on [server] that an online request has to wait for, the youngest first. */
+    fun makeRoom(server: BackendServer) = stopItems(server, maxOf(1, parts.placement.excess(server)))
+
+    /** Looks at the loads again: gives slots back, then fills the spare ones. */
+    fun refresh() {
+        if (held.isEmpty()) return
+        for (server in parts.board.all()) {
+            val excess = parts.placement.excess(server)
+            if (excess > 0) stopItems(server, excess)
+        }
+        expire()
+        schedule()
+    }
+
+    /** Stops all items and stores what has arrived; other nodes take the jobs over. */
+    fun stop() {
+        isStopping = true
+        for (job in held.values) job.running.values.forEach { it.job?.cancel() }
+    }
+
+    private fun stopItems(server: BackendServer, count: Int) {
+        val here = held.values.flatMap { job -> job.running.values.filter { it.server.id == server.id } }
+        for (running in here.sortedByDescending { it.startedNanos }.take(count)) {
+            running.job?.cancel()
+            metrics.count("batch_items_stopped")
+        }
+    }
+
+    private fun schedule() {
+        if (isStopping) return
+        // Other nodes see the same spare slots in the same period; each takes its share of them.
+        var left = maxOf(1, spareSlots() / parts.members.size + 1)
+        for (job in held.values) {
+            if (job.isEnded || job.waiting.isEmpty()) continue
+            val route = route(job.job)
+            if (route == null) {
+                giveUp(job, "its route is gone")
+                continue
+            }
+            while (left > 0 && job.waiting.isNotEmpty()) {
+                val server = parts.placement.place(route.service(kotlin.random.Random.nextDouble())) ?: return
+                if (!parts.board.tryUse(server.id)) return
+                start(job, job.waiting.removeFirst(), route, server)
+                left--
+            }
+        }
+    }
+
+    private fun spareSlots() = parts.board.all().sumOf {
+        (it.slots - parts.board.occupancy(it.id).total).coerceAtLeast(0)
+    }
+
+    private fun route(job: BatchJob): Route? = parts.configuration.table?.route(job.host, job.path)
+
+    private fun start(job: HeldJob, progress: ItemProgress, route: Route, server: BackendServer) {
+        val running = RunningItem(server, timer.nanoTime())
+        job.running[progress] = running
+        log.record(
+            "item_started",
+            "job" to job.job.id,
+            "item" to progress.item.id,
+            "server" to server.id,
+            "load" to parts.board.occupancy(server.id).total,
+            "after_event" to progress.lastEventId,
+        )
+        running.job = scope.launch {
+            var outcome: RunOutcome = RunOutcome.Interrupted("stopped")
+            try {
+                outcome = run(job.job, progress, route, server)
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (failure: HttpFailure) {
+                outcome = RunOutcome.Interrupted(failure.message.orEmpty())
+            } finally {
+                ended(job, progress, outcome)
+            }
+        }
+    }
+
+    private suspend fun run(job: BatchJob, progress: ItemProgress, route: Route, server: BackendServer): RunOutcome {
+        val leftMillis = job.submittedWallMillis + route.maxWaitMillis - timer.wallMillis()
+        val head = EngineHead(server.id, leftMillis.coerceAtLeast(1), job.customer, progress.lastEventId)
+        val request = protocol.itemRequest(progress.item, job.host, head)
+        return parts.engines.run(server, request, progress.item.id, isBatch = true, onlyFresh = false) { answer ->
+            val status = answer.head.status
+            when {
+                answer.head.isNotRun -> {
+                    answer.body.rest(MAX_ERROR_BYTES)
+                    parts.board.block(server.id, FULL_PAUSE_MILLIS)
+                    RunOutcome.Interrupted("server answered $status, not run")
+                }
+                status in 200..299 && answer.head.isVouched -> read(answer, progress).also {
+                    if (it == RunOutcome.Completed) parts.board.succeeded(server.id)
+                }
+                status in 200..299 -> throw HttpFailure.Broken("the answer bears no stamp")
+                else -> {
+                    answer.body.rest(MAX_ERROR_BYTES)
+                    when (status) {
+                        UNPROCESSABLE -> RunOutcome.Impossible
+                        INTERNAL_ERROR -> RunOutcome.Failed
+                        else -> RunOutcome.Interrupted("server answered $status")
+                    }
+                }
+            }
+        }
+    }
+
+    private suspend fun read(answer: EngineAnswer, progress: ItemProgress): RunOutcome {
+        val splitter = EventSplitter()
+        while (true) {
+            var isEnd = false
+            val bytes = withTimeoutOrNull(SILENCE_MILLIS) { answer.body.next().also { isEnd = it == null } }
+            if (isEnd) break
+            if (bytes == null) throw HttpFailure.Broken("no event for $SILENCE_MILLIS ms")
+            for (event in splitter.add(bytes)) {
+                val id = event.id ?: continue
+                if (!progress.event(id, event.data)) throw HttpFailure.Broken("events before $id are missing")
+            }
+        }
+        if (splitter.hasPartialEvent) throw HttpFailure.Broken("the stream ended within an event")
+        return RunOutcome.Completed
+    }
+
+    private fun ended(job: HeldJob, progress: ItemProgress, outcome: RunOutcome) {
+        val running = job.running.remove(progress)
+        progress.ended(outcome)
+        val result = progress.result
+        log.record(
+            "item_ended",
+            "job" to job.job.id,
+            "item" to progress.item.id,
+            "server" to running?.server?.id,
+            "last_event" to progress.lastEventId,
+            "outcome" to (if (outcome is RunOutcome.Interrupted) outcome.reason else outcome::class.simpleName),
+        )
+        when {
+            result != null -> {
+                job.toStore += result
+                store(job)
+            }
+            !job.isEnded && !isStopping -> job.waiting.addFirst(progress)
+        }
+        scope.launch { schedule() }
+    }
+
+    /** Gives up the items of jobs that may not be kept waiting any longer. */
+    private fun expire() {
+        val nowWallMillis = timer.wallMillis()
+        for (job in held.values) {
+            if (job.isEnded || job.waiting.isEmpty()) continue
+            val maxWaitMillis = route(job.job)?.maxWaitMillis ?: continue
+            if (maxWaitMillis > 0 && nowWallMillis - job.job.submittedWallMillis > maxWaitMillis) {
+                giveUp(job, "it has waited for $maxWaitMillis ms")
+            }
+        }
+    }
+
+    private fun giveUp(job: HeldJob, reason: String) {
+        log.record("items_given_up", "job" to job.job.id, "items" to job.waiting.size, "reason" to reason)
+        while (true) {
+            val progress = job.waiting.removeFirstOrNull() ?: break
+            progress.giveUp()
+            progress.result?.let { job.toStore += it }
+        }
+        store(job)
+    }
+
+    /** Stores what has arrived. Results that arrive meanwhile go together into the next chunk. */
+    private fun store(job: HeldJob) {
+        if (job.isStoring || job.toStore.isEmpty()) return
+        job.isStoring = true
+        scope.launch {
+            try {
+                if (job.running.isNotEmpty() && !isStopping) timer.pause(GATHER_MILLIS)
+                while (job.toStore.isNotEmpty() && held[job.job.id] === job) storeChunk(job)
+            } finally {
+                job.isStoring = false
+            }
+        }
+    }
+
+    private suspend fun storeChunk(job: HeldJob) {
+        val id = job.job.id
+        val batch = job.toStore.toList()
+        val chunk = job.log.next(batch)
+        if (chunk.results.isEmpty()) {
+            job.toStore.removeAll(batch.toSet())
+            return
+        }
+        val number = job.log.nextChunk
+        parts.records.appendResults(id, number, chunk).fold(
+            {
+                job.log.add(chunk)
+                job.toStore.removeAll(batch.toSet())
+                job.wakeReaders()
+                log.record("results_stored", "job" to id, "chunk" to number, "results" to chunk.results.size)
+            },
+            { error ->
+                log.record("results_not_stored", "job" to id, "chunk" to number, "reason" to error)
+                if (error is StoreError.AlreadyExists) lostRace(job) else timer.pause(RETRY_MILLIS)
+            },
+        )
+    }
+
+    /** Another node has stored results of this job: it was taken over, or an earlier copy of this write landed. */
+    private suspend fun lostRace(job: HeldJob) {
+        val id = job.job.id
+        parts.records.readResults(id, job.log).fold({}, { timer.pause(RETRY_MILLIS) })
+        job.wakeReaders()
+        job.waiting.removeAll { job.log.holds(it.item.id) }
+        job.running.filterKeys { job.log.holds(it.item.id) }.values.forEach { it.job?.cancel() }
+        val holder = parts.records.state(id).fold({ it.holder }, { null }) ?: return
+        if (holder != JobHolder(parts.members.self.vm.value, parts.members.self.incarnation)) drop(id, holder)
+    }
+
+    private fun drop(id: String, holder: JobHolder) {
+        val job = held.remove(id) ?: return
+        job.isEnded = true
+        job.running.values.forEach { it.job?.cancel() }
+        job.wakeReaders()
+        log.record("job_lost", "job" to id, "holder" to holder.vm, "stored" to job.log.size)
+    }
+
+    /** Whether something is still to be stored. */
+    val hasUnstored: Boolean get() = held.values.any { it.toStore.isNotEmpty() || it.isStoring }
+
+    private companion object {
+        /** Results that arrive within this time share one write. */
+        const val GATHER_MILLIS = 300L
+
+        const val RETRY_MILLIS = 300L
+
+        /** Silence after which an item goes on elsewhere. */
+        const val SILENCE_MILLIS = 2_000L
+
+        const val FULL_PAUSE_MILLIS = 200L
+        const val MAX_ERROR_BYTES = 1024 * 1024
+        const val UNPROCESSABLE = 422
+        const val INTERNAL_ERROR = 500
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Refusals.kt
@@ -0,0 +1,27 @@
+package ragwortbarrow.entry
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import ragwortbarrow.core.error.ServingError
+import ragwortbarrow.http.HttpReply
+import kotlin.math.ceil
+
+/** Answers with an error of the system's own: its number, whether the request ran, and when to come back. */
+fun HttpReply.refuse(error: ServingError) {
+    val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+    error.retryAfterMillis?.let { headers.set(HttpHeaderNames.RETRY_AFTER, ceil(it / MILLIS_PER_SECOND).toLong()) }
+    val body = buildJsonObject {
+        putJsonObject("error") {
+            put("code", error.code.number)
+            put("type", error.code.type)
+            put("message", error.message)
+            put("execution", error.execution.wire)
+        }
+    }
+    whole(error.code.httpStatus, headers, body.toString().encodeToByteArray())
+}
+
+private const val MILLIS_PER_SECOND = 1_000.0
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -0,0 +1,113 @@
+package ragwortbarrow.entry
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
+import ragwortbarrow.core.fleet.Snapshot
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.log.record
+import ragwortbarrow.core.placement.BackendServer
+import ragwortbarrow.core.placement.ServerBoard
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.StoredObject
+import ragwortbarrow.core.store.storeJson
+import ragwortbarrow.core.time.TimerService
+
+/**
+ * The backend servers as the platform lists them. After an outage of the platform the list may lack servers that are
+ * alive and about to register again; they are kept for [returnMillis].
+ */
+class ServerDirectory(
+    private val decode: (StoredObject) -> BackendServer?,
+    private val board: ServerBoard,
+    private val timer: TimerService,
+    private val log: DecisionLog,
+    private val returnMillis: Long = 2_200,
+) {
+    private val entries = LinkedHashMap<String, StoredObject>()
+    private var listings = 0
+
+    /** The platform's revision of the newest change that has been seen. */
+    var revision: Long = 0
+        private set
+
+    /** What peers get that are behind. */
+    val snapshot: Snapshot
+        get() = Snapshot(
+            revision,
+            JsonArray(
+                entries.values.map {
+                    JsonObject(
+                        mapOf(
+                            "name" to JsonPrimitive(it.name),
+                            "version" to JsonPrimitive(it.version),
+                            "spec" to it.spec,
+                        ),
+                    )
+                },
+            ).toString(),
+        )
+
+    /** The platform was listed. */
+    fun listed(objects: List<StoredObject>) {
+        val listing = ++listings
+        val present = objects.mapTo(HashSet()) { it.name }
+        val missing = entries.keys.filter { it !in present }
+        objects.forEach { put(it) }
+        publish("listed")
+        if (missing.isEmpty()) return
+        timer.once(returnMillis) {
+            if (listing == listings) missing.filter { entries[it]?.version == 0L }.forEach { remove(it, revision) }
+        }
+        for (name in missing) entries.computeIfPresent(name) { _, entry -> entry.copy(version = 0L) }
+        log.record("backend_servers_missing", "servers" to missing.joinToString(","), "kept_ms" to returnMillis)
+    }
+
+    fun changed(entry: StoredObject) {
+        put(entry)
+        publish("changed ${entry.name}")
+    }
+
+    fun remove(name: String, atRevision: Long) {
+        if (entries.remove(name) == null) return
+        revision = maxOf(revision, atRevision)
+        publish("removed $name")
+    }
+
+    /** A peer's list, taken over while this node's own watch is behind. */
+    fun offer(snapshot: Snapshot) {
+        if (snapshot.revision <= revision) return
+        val list = storeJson.parseToJsonElement(snapshot.document) as JsonArray
+        entries.clear()
+        for (element in list) {
+            val entry = element as JsonObject
+            val name = entry.getValue("name").jsonPrimitive.content
+            val version = entry.getValue("version").jsonPrimitive.longOrNull ?: 0
+            entries[name] =
+                StoredObject(ObjectKind.BACKEND_SERVERS, name, version, entry.getValue("spec") as JsonObject)
+        }
+        revision = snapshot.revision
+        publish("taken from a peer")
+    }
+
+    private fun put(entry: StoredObject) {
+        val before = entries[entry.name]
+        if (before != null && before.version > entry.version) return
+        entries[entry.name] = entry
+        revision = maxOf(revision, entry.version)
+    }
+
+    private fun publish(reason: String) {
+        val servers = entries.values.mapNotNull(decode)
+        board.replace(servers)
+        log.record(
+            "backend_servers",
+            "reason" to reason,
+            "revision" to revision,
+            "entries" to entries.size,
+            "usable" to servers.count { !it.isDraining },
+        )
+    }
+}
--- a/node/src/main/kotlin/ragwortbarrow/node/Main.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Main.kt
@@ -2,8 +2,8 @@
 
 import kotlinx.coroutines.runBlocking
 import org.apache.logging.log4j.LogManager
-import ragwortbarrow.node.log.KeyValueLog
-import ragwortbarrow.node.log.setLogLevel
+import ragwortbarrow.telemetry.KeyValueLog
+import ragwortbarrow.telemetry.setLogLevel
 import ragwortbarrow.node.settings.NodeCommand
 import ragwortbarrow.node.settings.Settings
 import ragwortbarrow.node.settings.outcome
--- a/node/src/test/kotlin/ragwortbarrow/node/GracefulStopTest.kt
+++ b/node/src/test/kotlin/ragwortbarrow/node/GracefulStopTest.kt
@@ -21,7 +21,7 @@
 import ragwortbarrow.core.manifest.Model
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.SafeWriter
-import ragwortbarrow.platform.SystemTimerService
+import ragwortbarrow.objectapi.SystemTimerService
 import ragwortbarrow.standins.engine.EngineServer
 import ragwortbarrow.standins.engine.EngineSettings
 import ragwortbarrow.standins.platform.PlatformServer
--- a/platform/src/main/kotlin/ragwortbarrow/platform/CallBudget.kt
+++ b/objectapi/src/main/kotlin/ragwortbarrow/objectapi/CallBudget.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.platform
+package ragwortbarrow.objectapi
 
 /**
  * What the client may spend on the platform. A read takes at most [readAttempts] attempts, each with the deadline;
--- a/platform/src/main/kotlin/ragwortbarrow/platform/Resilience.kt
+++ b/objectapi/src/main/kotlin/ragwortbarrow/objectapi/Resilience.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.platform
+package ragwortbarrow.objectapi
 
 import arrow.resilience.CircuitBreaker
 import arrow.resilience.Schedule
--- a/platform/src/main/kotlin/ragwortbarrow/platform/StoreCallListener.kt
+++ b/objectapi/src/main/kotlin/ragwortbarrow/objectapi/StoreCallListener.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.platform
+package ragwortbarrow.objectapi
 
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.StoreError
--- a/platform/src/main/kotlin/ragwortbarrow/platform/SystemTimerService.kt
+++ b/objectapi/src/main/kotlin/ragwortbarrow/objectapi/SystemTimerService.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.platform
+package ragwortbarrow.objectapi
 
 import org.apache.logging.log4j.LogManager
 import ragwortbarrow.core.time.TimerService
--- a/platform/src/main/kotlin/ragwortbarrow/platform/WatchFlow.kt
+++ b/objectapi/src/main/kotlin/ragwortbarrow/objectapi/WatchFlow.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.platform
+package ragwortbarrow.objectapi
 
 import io.ktor.client.HttpClient
 import io.ktor.client.request.HttpRequestBuilder
--- a/platform/src/test/kotlin/ragwortbarrow/platform/HttpObjectStoreTest.kt
+++ b/objectapi/src/test/kotlin/ragwortbarrow/objectapi/HttpObjectStoreTest.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.platform
+package ragwortbarrow.objectapi
 
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.unwrap
--- a/peer/src/main/kotlin/ragwortbarrow/peer/GrpcPeer.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/GrpcPeer.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
-import io.grpc.ConnectivityState
 import io.grpc.ManagedChannel
 import io.grpc.Status
 import io.grpc.StatusException
@@ -29,7 +28,7 @@
 
 /** Calls one other node over [channel]. */
 internal class GrpcPeer(
-    val channel: ManagedChannel,
+    private val channel: ManagedChannel,
     private val deadlineMillis: Long,
     private val bulkDeadlineMillis: Long,
 ) : PeerService {
@@ -70,8 +69,7 @@
         limitMillis: Long = deadlineMillis,
         rpc: suspend PeerCoroutineStub.() -> T,
     ): Result<T, PeerError> {
-        // gRPC waits up to two minutes between connection attempts; a restarted node has to be reachable at once.
-        if (channel.getState(false) == ConnectivityState.TRANSIENT_FAILURE) channel.resetConnectBackoff()
+        channel.reconnectAtOnce()
         return try {
             Ok(stub.withDeadlineAfter(limitMillis, TimeUnit.MILLISECONDS).rpc())
         } catch (failure: StatusException) {
@@ -80,7 +78,7 @@
     }
 }
 
-private fun Status.toPeerError(): PeerError {
+internal fun Status.toPeerError(): PeerError {
     val message = description ?: code.name
     return when (code) {
         Status.Code.DEADLINE_EXCEEDED -> PeerError.TimedOut(message)
--- a/peer/src/main/kotlin/ragwortbarrow/peer/GrpcPeerServer.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/GrpcPeerServer.kt
@@ -1,5 +1,6 @@
 package ragwortbarrow.peer
 
+import io.grpc.BindableService
 import io.grpc.Server
 import io.grpc.netty.NettyServerBuilder
 import io.netty.channel.EventLoopGroup
@@ -11,8 +12,16 @@
 import java.util.concurrent.TimeUnit
 
 /** Serves [service] to the other nodes at [host] and [port]; with [tls] only to nodes with a trusted certificate. */
-class GrpcPeerServer(host: String, port: Int, service: PeerService, tls: PeerTls? = null) {
-    private val group: EventLoopGroup = NioEventLoopGroup(2)
+class GrpcPeerServer(
+    host: String,
+    port: Int,
+    service: BindableService,
+    tls: PeerTls? = null,
+    private val group: EventLoopGroup = NioEventLoopGroup(2),
+) {
+    constructor(host: String, port: Int, service: PeerService, tls: PeerTls? = null) :
+        this(host, port, PeerEndpoint(service, Dispatchers.Default), tls)
+
     private val server: Server = NettyServerBuilder.forAddress(InetSocketAddress(host, port))
         .channelType(NioServerSocketChannel::class.java)
         .bossEventLoopGroup(group)
@@ -21,7 +30,7 @@
         .maxInboundMessageSize(MAX_MESSAGE_BYTES)
         .permitKeepAliveTime(KEEP_ALIVE_SECONDS / 2, TimeUnit.SECONDS)
         .apply { tls?.let { sslContext(it.serverContext()) } }
-        .addService(PeerEndpoint(service, Dispatchers.Default))
+        .addService(service)
         .build()
 
     /** The bound port, once started. */
--- a/peer/src/main/kotlin/ragwortbarrow/peer/PeerEndpoint.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/PeerEndpoint.kt
@@ -62,7 +62,7 @@
     }
 }
 
-private fun <T> Result<T, PeerError>.orThrow(): T = getOrElse { error -> throw StatusException(error.toStatus()) }
+internal fun <T> Result<T, PeerError>.orThrow(): T = getOrElse { error -> throw StatusException(error.toStatus()) }
 
 private fun PeerError.toStatus(): Status = when (this) {
     is PeerError.Unreachable -> Status.UNAVAILABLE
--- a/node/src/main/kotlin/ragwortbarrow/node/log/KeyValueLog.kt
+++ b/telemetry/src/main/kotlin/ragwortbarrow/telemetry/KeyValueLog.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.node.log
+package ragwortbarrow.telemetry
 
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
@@ -22,7 +22,7 @@
 }
 
 /** `event=… key=value …`; a value with blanks, quotes or an equals sign is quoted, and null fields are left out. */
-internal fun keyValueLine(event: String, fields: List<Pair<String, Any?>>): String = buildString {
+fun keyValueLine(event: String, fields: List<Pair<String, Any?>>): String = buildString {
     append("event=").append(event)
     for ((key, value) in fields) if (value != null) append(' ').append(key).append('=').append(quoted(value.toString()))
 }
--- a/node/src/test/kotlin/ragwortbarrow/node/log/KeyValueLogTest.kt
+++ b/telemetry/src/test/kotlin/ragwortbarrow/telemetry/KeyValueLogTest.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.node.log
+package ragwortbarrow.telemetry
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
