Fill servers with batch by slack, and give single slots back on demand

Ruled out: servers that refuse (34 answers of 503). Each node now starts its share of the spare slots once a period, fills servers only in part while an item is in no hurry, and tells the node that holds a batch item where an online request has to wait.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -14,6 +14,7 @@
     private val silentMillis: Long = 1_200,
     private val forgetMillis: Long = 30_000,
 ) {
+    /** A member that was only named counts as heard for its first moments, until it could have answered. */
     private class Known(var node: FleetNode, var heardMillis: Long, var isLeaving: Boolean, var wasHeard: Boolean)
 
     private val known = HashMap<VmId, Known>()
@@ -76,5 +77,5 @@
         return lost
     }
 
-    private fun isHeard(member: Known) = member.wasHeard && timer.monotonicMillis() - member.heardMillis <= silentMillis
+    private fun isHeard(member: Known) = timer.monotonicMillis() - member.heardMillis <= silentMillis
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -2,43 +2,71 @@
 
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.FailureDomainId
+import kotlin.math.ceil
 import kotlin.random.Random
 
+/** How much time is left for a batch item beyond what it needs to run, from none to plenty. */
+enum class Slack(
+    /** Share of a server's slots, online requests included, up to which such an item may fill it. */
+    val fillShare: Double,
+) {
+    PLENTY(0.5),
+    SOME(0.75),
+    NONE(0.9),
+    ;
+
+    companion object {
+        /** The slack of an item that is due in [leftMillis] and runs for [runMillis]. */
+        fun of(leftMillis: Long, runMillis: Double): Slack = when {
+            leftMillis > runMillis * 2 -> PLENTY
+            leftMillis > runMillis * 1.4 -> SOME
+            else -> NONE
+        }
+    }
+}
+
 /**
- * Chooses backend servers for batch items, and the servers that batch has to leave.
+ * Chooses backend servers for batch items, and the items that have to leave.
  *
  * Load pattern: online load alternates between a low and a high phase every few seconds, and batch items run for longer
- * than a phase. Batch fills the slots that online leaves free up to a reserve, and gives them back as soon as an online
- * request would have to wait. A stopped item goes on later from the event that it had reached, so yielding costs little.
+ * than a phase. While batch is in no hurry it fills servers only in part, so that a rise of online load finds free slots
+ * and few items have to be stopped; as its due time comes closer it fills more. An online request that finds a server
+ * full takes the slot of a batch item at once. A stopped item goes on later from the event that it had reached.
  */
 class BatchPlacement(
     private val board: ServerBoard,
     private val ownDomain: FailureDomainId,
     private val random: Random = Random.Default,
 ) {
-    /** The emptiest server with a spare slot for one more item, or null. */
-    fun place(service: String, except: Set<BackendServerId> = emptySet()): BackendServer? =
+    /** The emptiest server with room for one more item, or null. */
+    fun place(service: String, slack: Slack, except: Set<BackendServerId> = emptySet()): BackendServer? =
         board.eligible(service, except)
-            .filter { board.occupancy(it.id).total + reserve(it) < it.slots }
+            .filter { board.occupancy(it.id).total < fillLimit(it, slack) }
             .minByOrNull {
                 val remote = if (it.failureDomain == ownDomain) 0.0 else REMOTE_PENALTY
                 board.occupancy(it.id).total.toDouble() / it.slots + remote + random.nextDouble() * TIE_SPREAD
             }
 
-    /** How many of this node's items have to leave [server] now. */
+    /**
+     * How many of this node's items have to leave [server]. Nodes with items on the same server each take their part of
+     * the excess, so that they do not all give back the same slots.
+     */
     fun excess(server: BackendServer): Int {
-        val over = board.occupancy(server.id).total - server.slots
-        return over.coerceIn(0, board.ownOccupancy(server.id).batch)
+        val load = board.occupancy(server.id)
+        val own = board.ownOccupancy(server.id).batch
+        val over = load.total - server.slots
+        if (over <= 0 || own == 0) return 0
+        return ceil(over.toDouble() * own / load.batch).toInt().coerceAtMost(own)
     }
 
-    /** Slots that batch leaves free for the next online requests. */
-    private fun reserve(server: BackendServer): Int = (server.slots * RESERVE_SHARE).toInt().coerceAtLeast(1)
+    private fun fillLimit(server: BackendServer, slack: Slack): Int =
+        (server.slots * slack.fillShare).toInt().coerceIn(1, server.slots)
 
     private companion object {
-        /** One slot of eight: online arrivals at one server between two reports of the other nodes. */
-        const val RESERVE_SHARE = 0.13
-
+        /** In units of a full server: a remote server is chosen when it is this much emptier than a local one. */
         const val REMOTE_PENALTY = 0.25
+
+        /** In units of a full server: loads this close count as equal, about one request of eight. */
         const val TIE_SPREAD = 0.12
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -73,6 +73,12 @@
         sumPeers()
     }
 
+    /** The other node with the most batch items at [server], or null if no other node has any there. */
+    fun busiestBatchPeer(server: BackendServerId): VmId? = peers
+        .mapValues { (_, loads) -> loads[server]?.batch ?: 0 }
+        .filterValues { it > 0 }
+        .maxByOrNull { it.value }?.key
+
     fun forgetPeer(peer: VmId) {
         if (peers.remove(peer) != null) sumPeers()
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/traffic/Route.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/traffic/Route.kt
@@ -37,6 +37,8 @@
     /** Whether requests need no key. */
     val isPublic: Boolean = false,
     val isResumable: Boolean = false,
+    /** For batch routes: how long after its submission a job is due. */
+    val completionTargetMillis: Long = 0,
     /** For batch routes: how long after its submission an item may be given up. */
     val maxWaitMillis: Long = 0,
 ) {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -30,6 +30,7 @@
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.peer.PeerError
+import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.BatchPlacement
 import ragwortbarrow.core.placement.HoldTimes
 import ragwortbarrow.core.placement.OnlinePlacement
@@ -131,9 +132,10 @@
     /** Binds the addresses and starts all parts. */
     fun start() {
         endedJobs.ended = { runner.end(it) }
-        forwarder.makeRoom = runner::makeRoom
+        forwarder.makeRoom = ::makeRoom
         link.membershipChanged = warden::membershipChanged
         link.refreshed = runner::refresh
+        link.loadsChanged = runner::giveBack
         gauges()
         peerServer.start()
         health.bind(settings.healthAddress)
@@ -180,6 +182,13 @@
         done()
     }
 
+    /** An online request has to wait at [server]: batch items of this node leave, or else those of another one. */
+    private fun makeRoom(server: BackendServer) {
+        if (runner.makeRoom(server)) return
+        // The request is counted after this decision, so the other node is told once it has been.
+        board.busiestBatchPeer(server.id)?.let { vm -> loop.execute { link.pushTo(vm) } }
+    }
+
     private fun callerLimits(): HttpServerLimits {
         val limits = configuration.table?.limits ?: return HttpServerLimits()
         return HttpServerLimits(
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
@@ -52,9 +52,12 @@
     /** Called when a node fell silent, left, restarted or came back. */
     var membershipChanged: () -> Unit = {}
 
-    /** Called after each period with fresh states of the others. */
+    /** Called after each period. */
     var refreshed: () -> Unit = {}
 
+    /** Called when another node told of its loads. */
+    var loadsChanged: () -> Unit = {}
+
     fun start(seedAddresses: List<String>) {
         seedAddresses.forEach { contactSeed(it) }
         timer.every(periodMillis) { tick() }
@@ -78,6 +81,11 @@
         members.others().forEach { call(it) }
     }
 
+    /** Tells [vm] of this node's loads now, because it has batch items where an online request has to wait. */
+    fun pushTo(vm: VmId) {
+        members.reachable().firstOrNull { it.vm == vm }?.let { call(it) }
+    }
+
     private fun tick() {
         report = parts.ledger.report()
         for (node in members.others()) {
@@ -114,6 +122,7 @@
         if (vm == members.self.vm) return
         val isNews = members.heard(state.sender, state.isLeaving)
         parts.board.peerLoads(vm, state.loads)
+        loadsChanged()
         parts.ledger.peerReport(vm, state.admitted)
         parts.endedJobs.learned(state.endedJobs)
         for (node in state.members) if (members.learned(node)) call(node)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -17,7 +17,9 @@
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.BatchPlacement
 import ragwortbarrow.core.placement.ServerBoard
+import ragwortbarrow.core.placement.Slack
 import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.time.pause
 import ragwortbarrow.core.traffic.Route
@@ -46,6 +48,8 @@
 
     private val held = LinkedHashMap<String, HeldJob>()
     private var isStopping = false
+    private var startsLeft = 1
+    private var runMillis = UNKNOWN_RUN_MILLIS
 
     internal fun held(id: String): HeldJob? = held[id]
 
@@ -74,18 +78,30 @@
         return true
     }
 
-    /** Stops this node's items on [server] that an online request has to wait for, the youngest first. */
-    fun makeRoom(server: BackendServer) = stopItems(server, maxOf(1, parts.placement.excess(server)))
+    /** Stops an item on [server] that an online request has to wait for; false if this node has none there. */
+    fun makeRoom(server: BackendServer): Boolean {
+        if (parts.board.ownOccupancy(server.id).batch == 0) return false
+        stopItems(server, maxOf(1, parts.placement.excess(server)))
+        return true
+    }
 
     /** Looks at the loads again: gives slots back, then fills the spare ones. */
     fun refresh() {
+        // Other nodes see the same spare slots in the same period; each takes its share of them.
+        startsLeft = maxOf(1, spareSlots() / parts.members.size)
+        if (held.isEmpty()) return
+        giveBack()
+        expire()
+        schedule()
+    }
+
+    /** Stops items where online requests need more than the slots that batch leaves free. */
+    fun giveBack() {
         if (held.isEmpty()) return
         for (server in parts.board.all()) {
             val excess = parts.placement.excess(server)
             if (excess > 0) stopItems(server, excess)
         }
-        expire()
-        schedule()
     }
 
     /** Stops all items and stores what has arrived; other nodes take the jobs over. */
@@ -104,8 +120,6 @@
 
     private fun schedule() {
         if (isStopping) return
-        // Other nodes see the same spare slots in the same period; each takes its share of them.
-        var left = maxOf(1, spareSlots() / parts.members.size + 1)
         for (job in held.values) {
             if (job.isEnded || job.waiting.isEmpty()) continue
             val route = route(job.job)
@@ -113,15 +127,21 @@
                 giveUp(job, "its route is gone")
                 continue
             }
-            while (left > 0 && job.waiting.isNotEmpty()) {
-                val server = parts.placement.place(route.service(kotlin.random.Random.nextDouble())) ?: return
-                if (!parts.board.tryUse(server.id)) return
+            while (startsLeft > 0 && job.waiting.isNotEmpty()) {
+                val service = route.service(kotlin.random.Random.nextDouble())
+                val server = parts.placement.place(service, slack(job.job, route)) ?: break
+                if (!parts.board.tryUse(server.id)) break
                 start(job, job.waiting.removeFirst(), route, server)
-                left--
+                startsLeft--
             }
         }
     }
 
+    private fun slack(job: BatchJob, route: Route): Slack {
+        val targetMillis = if (route.completionTargetMillis > 0) route.completionTargetMillis else route.maxWaitMillis
+        return Slack.of(job.submittedWallMillis + targetMillis - timer.wallMillis(), runMillis)
+    }
+
     private fun spareSlots() = parts.board.all().sumOf {
         (it.slots - parts.board.occupancy(it.id).total).coerceAtLeast(0)
     }
@@ -156,6 +176,8 @@
     private suspend fun run(job: BatchJob, progress: ItemProgress, route: Route, server: BackendServer): RunOutcome {
         val leftMillis = job.submittedWallMillis + route.maxWaitMillis - timer.wallMillis()
         val head = EngineHead(server.id, leftMillis.coerceAtLeast(1), job.customer, progress.lastEventId)
+        val startedNanos = timer.nanoTime()
+        val isWhole = progress.lastEventId == null
         val request = protocol.itemRequest(progress.item, job.host, head)
         return parts.engines.run(server, request, progress.item.id, isBatch = true, onlyFresh = false) { answer ->
             val status = answer.head.status
@@ -167,6 +189,9 @@
                 }
                 status in 200..299 && answer.head.isVouched -> read(answer, progress).also {
                     if (it == RunOutcome.Completed) parts.board.succeeded(server.id)
+                    if (it == RunOutcome.Completed && isWhole) {
+                        runMillis += (millisSince(startedNanos) - runMillis) * RUN_WEIGHT
+                    }
                 }
                 status in 200..299 -> throw HttpFailure.Broken("the answer bears no stamp")
                 else -> {
@@ -181,6 +206,8 @@
         }
     }
 
+    private fun millisSince(nanos: Long) = (timer.nanoTime() - nanos) / NANOS_PER_MILLI.toDouble()
+
     private suspend fun read(answer: EngineAnswer, progress: ItemProgress): RunOutcome {
         val splitter = EventSplitter()
         while (true) {
@@ -306,6 +333,12 @@
 
         const val RETRY_MILLIS = 300L
 
+        /** Assumed run time of an item until one has run whole. */
+        const val UNKNOWN_RUN_MILLIS = 5_000.0
+
+        /** Weight of the newest run time in the moving average. */
+        const val RUN_WEIGHT = 0.2
+
         /** Silence after which an item goes on elsewhere. */
         const val SILENCE_MILLIS = 2_000L
 
