--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -65,8 +65,25 @@
 
     /** How long a new request would wait at [server] before it runs. */
     fun waitMillis(server: BackendServer): Double {
-        val ahead = board.occupancy(server.id).total - server.slots + 1
-        return if (ahead <= 0) 0.0 else ahead * holds.holdMillis(server.service) / server.slots
+        val load = board.occupancy(server.id)
+        return when {
+            load.total < server.slots -> 0.0
+            load.online < server.slots -> YIELD_MILLIS
+            else -> departureMillis(server, load.online - server.slots + 1)
+        }
+    }
+
+    /**
+     * When the [count]th of the online requests at [server] will have left. The ages of this node's own are known. After
+     * a jump of the load most are young, so the first slot becomes free much later than on average. Those of other nodes
+     * are taken to be spread evenly over the time that a request takes.
+     */
+    private fun departureMillis(server: BackendServer, count: Int): Double {
+        val holdMillis = holds.holdMillis(server.service)
+        val own = board.ownOnlineAges(server.id).map { (holdMillis - it).coerceAtLeast(0.0) }
+        val others = board.occupancy(server.id).online - own.size
+        val assumed = (1..others).map { holdMillis * it / (others + 1) }
+        return (own + assumed).sorted()[count - 1]
     }
 
     private fun score(server: BackendServer): Double {
@@ -102,6 +119,9 @@
         /** In units of a full server: loads this close count as equal, about one request of eight. */
         const val TIE_SPREAD = 0.12
 
+        /** Time until a batch item has given its slot to an online request, also at the word of another node. */
+        const val YIELD_MILLIS = 20.0
+
         /** Whole seconds are what `Retry-After` can say. */
         const val MIN_RETRY_MILLIS = 1_000L
 
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -14,6 +14,7 @@
     private var servers = emptyMap<BackendServerId, BackendServer>()
     private var byService = emptyMap<String, List<BackendServer>>()
     private val own = HashMap<BackendServerId, Occupancy>()
+    private val onlineStarts = HashMap<BackendServerId, ArrayList<Long>>()
     private val peers = HashMap<VmId, Map<BackendServerId, Occupancy>>()
     private var peerTotals = emptyMap<BackendServerId, Occupancy>()
     private val blockedUntilMillis = HashMap<BackendServerId, Long>()
@@ -51,9 +52,25 @@
     /** This node's own requests in flight, without idle servers. */
     fun ownLoads(): Map<BackendServerId, Occupancy> = own.filterValues { it.total > 0 }
 
-    fun began(server: BackendServerId, isBatch: Boolean) = count(server, isBatch, 1)
+    /** Counts a request at [server] that queues there for [waitMillis]; returns when it begins to run, for [ended]. */
+    fun began(server: BackendServerId, isBatch: Boolean, waitMillis: Double = 0.0): Long {
+        val startMillis = timer.monotonicMillis() + waitMillis.toLong()
+        count(server, isBatch, 1)
+        if (!isBatch) onlineStarts.getOrPut(server) { ArrayList() } += startMillis
+        return startMillis
+    }
+
+    /** Counts a request as ended for which [began] returned [startMillis]. */
+    fun ended(server: BackendServerId, isBatch: Boolean, startMillis: Long) {
+        count(server, isBatch, -1)
+        if (!isBatch) onlineStarts[server]?.remove(startMillis)
+    }
 
-    fun ended(server: BackendServerId, isBatch: Boolean) = count(server, isBatch, -1)
+    /** How long this node's online requests have run at [server], in milliseconds; negative for those that queue. */
+    fun ownOnlineAges(server: BackendServerId): List<Long> {
+        val nowMillis = timer.monotonicMillis()
+        return onlineStarts[server].orEmpty().map { nowMillis - it }
+    }
 
     fun succeeded(server: BackendServerId) = health.succeeded(server)
 
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/jobs/ItemProgressTest.kt
@@ -0,0 +1,44 @@
+package ragwortbarrow.core.jobs
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class ItemProgressTest {
+    private val progress = ItemProgress(BatchItem("a", "/p/a"), maxAttempts = 3)
+
+    @Test
+    fun `the output goes on where an interrupted run stopped`() {
+        progress.event(1, "one")
+        progress.event(2, "two")
+        progress.ended(RunOutcome.Interrupted("stopped"))
+        expectThat(progress.event(2, "two")).isTrue()
+        progress.event(3, "three")
+        progress.ended(RunOutcome.Completed)
+        expectThat(progress.result).isEqualTo(ItemResult("a", isCompleted = true, output = "one\ntwo\nthree"))
+    }
+
+    @Test
+    fun `a missing event is noticed`() {
+        progress.event(1, "one")
+        expectThat(progress.event(3, "three")).isFalse()
+    }
+
+    @Test
+    fun `an item is given up after its attempts have failed, and interruptions do not count`() {
+        repeat(2) { progress.ended(RunOutcome.Failed) }
+        repeat(5) { progress.ended(RunOutcome.Interrupted("server full")) }
+        expectThat(progress.result).isNull()
+        progress.ended(RunOutcome.Failed)
+        expectThat(progress.result).isEqualTo(ItemResult("a", isCompleted = false))
+    }
+
+    @Test
+    fun `an item that can never be done is given up at once`() {
+        progress.ended(RunOutcome.Impossible)
+        expectThat(progress.result).isEqualTo(ItemResult("a", isCompleted = false))
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/jobs/ResultLogTest.kt
@@ -0,0 +1,76 @@
+package ragwortbarrow.core.jobs
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.store.MemoryObjectStore
+import ragwortbarrow.core.store.SafeWriter
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.time.ManualTimerService
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class ResultLogTest {
+    private val timer = ManualTimerService()
+    private val store = MemoryObjectStore()
+
+    private fun records(name: String) = JobRecords(store, SafeWriter(store, timer, name))
+
+    private fun result(id: String) = ItemResult(id, isCompleted = true, output = "text of $id")
+
+    @Test
+    fun `of two nodes that run a job only one stores a chunk of a number`() = runTest {
+        val first = ResultLog(3)
+        val second = ResultLog(3)
+        val stored = records("one").appendResults("job", 0, first.next(listOf(result("a"))))
+        expectThat(stored.fold({ null }, { it })).isNull()
+        val lost = records("two").appendResults("job", 0, second.next(listOf(result("b"), result("a"))))
+        expectThat(lost.fold({ null }, { it })).isA<StoreError.AlreadyExists>()
+    }
+
+    @Test
+    fun `a node that lost the race goes on behind the other one and repeats no item`() = runTest {
+        val records = records("one")
+        records.appendResults("job", 0, ResultChunk(0, listOf(result("a"))))
+        val log = ResultLog(3)
+        records.readResults("job", log)
+        val next = log.next(listOf(result("a"), result("b")))
+        expectThat(next.first).isEqualTo(1)
+        expectThat(next.results.map { it.id }).containsExactly("b")
+        expectThat(log.nextChunk).isEqualTo(1)
+    }
+
+    @Test
+    fun `an item that stands in two chunks keeps its first position`() {
+        val log = ResultLog(2)
+        log.add(ResultChunk(0, listOf(result("a"))))
+        log.add(ResultChunk(1, listOf(result("a").copy(output = "other"), result("b"))))
+        expectThat(log.from(0).map { it.output }).containsExactly("text of a", "text of b")
+        expectThat(log.isFull).isTrue()
+    }
+
+    @Test
+    fun `reading from a position behind the end gives nothing`() {
+        val log = ResultLog(2)
+        log.add(ResultChunk(0, listOf(result("a"))))
+        expectThat(log.from(1)).isEqualTo(emptyList())
+        expectThat(log.from(9)).isEqualTo(emptyList())
+        expectThat(log.isFull).isFalse()
+    }
+
+    @Test
+    fun `a job is accepted once and its state survives racing changes`() = runTest {
+        val job = BatchJob("job", "host", "/p/", "mill", 0, emptyList(), JobHolder("vm", 1))
+        expectThat(records("one").create(job).fold({ null }, { it })).isNull()
+        expectThat(records("two").create(job).fold({ null }, { it })).isA<StoreError.AlreadyExists>()
+        records("one").changeState("job") { it.copy(isEnded = true) }
+        records("two").changeState("job") { it.copy(holder = JobHolder("other", 2)) }
+        val state = records("one").state("job").fold({ it }, { null })
+        expectThat(state).isEqualTo(JobState(holder = JobHolder("other", 2), isEnded = true))
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/BatchPlacementTest.kt
@@ -0,0 +1,62 @@
+package ragwortbarrow.core.placement
+
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.time.ManualTimerService
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+class BatchPlacementTest {
+    private val domain = FailureDomainId("dalton")
+    private val server = BackendServer(BackendServerId("a"), "engines", "10.0.0.1:80", domain, slots = 8)
+    private val board = ServerBoard(ManualTimerService()).apply { replace(listOf(server)) }
+    private val placement = BatchPlacement(board, domain)
+
+    @Test
+    fun `an item in no hurry leaves half of a server free for a rise of online load`() {
+        repeat(4) { board.began(server.id, isBatch = true) }
+        expectThat(placement.place("engines", Slack.PLENTY)).isNull()
+        expectThat(placement.place("engines", Slack.SOME)).isNotNull()
+    }
+
+    @Test
+    fun `an item that is nearly due still leaves one slot free`() {
+        repeat(7) { board.began(server.id, isBatch = false) }
+        expectThat(placement.place("engines", Slack.NONE)).isNull()
+    }
+
+    @Test
+    fun `slack shrinks as the due time comes closer`() {
+        expectThat(Slack.of(leftMillis = 18_000, runMillis = 5_000.0)).isEqualTo(Slack.PLENTY)
+        expectThat(Slack.of(leftMillis = 8_000, runMillis = 5_000.0)).isEqualTo(Slack.SOME)
+        expectThat(Slack.of(leftMillis = 5_500, runMillis = 5_000.0)).isEqualTo(Slack.NONE)
+    }
+
+    @Test
+    fun `online requests that find a server full take the slots of batch items`() {
+        repeat(5) { board.began(server.id, isBatch = true) }
+        repeat(3) { board.began(server.id, isBatch = false) }
+        expectThat(placement.excess(server)).isEqualTo(0)
+        repeat(2) { board.began(server.id, isBatch = false) }
+        expectThat(placement.excess(server)).isEqualTo(2)
+    }
+
+    @Test
+    fun `nodes with items on one server share what has to be given back`() {
+        repeat(2) { board.began(server.id, isBatch = true) }
+        board.peerLoads(VmId("other"), mapOf(server.id to Occupancy(online = 8, batch = 2)))
+        expectThat(placement.excess(server)).isEqualTo(2)
+        board.peerLoads(VmId("other"), mapOf(server.id to Occupancy(online = 6, batch = 2)))
+        expectThat(placement.excess(server)).isEqualTo(1)
+    }
+
+    @Test
+    fun `a node without items on a server gives nothing back`() {
+        repeat(9) { board.began(server.id, isBatch = false) }
+        expectThat(placement.excess(server)).isEqualTo(0)
+    }
+}
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
@@ -32,9 +32,10 @@
         requestId: String,
         isBatch: Boolean,
         onlyFresh: Boolean,
+        waitMillis: Double = 0.0,
         read: suspend (EngineAnswer) -> T,
     ): T {
-        board.began(server.id, isBatch)
+        val startMillis = board.began(server.id, isBatch, waitMillis)
         var connection: HttpClientConnection? = null
         try {
             connection = pool.acquire(server.address, if (onlyFresh) FRESH_SHARE else KEPT_SHARE)
@@ -50,7 +51,7 @@
             throw failure
         } finally {
             connection?.close()
-            board.ended(server.id, isBatch)
+            board.ended(server.id, isBatch, startMillis)
         }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -38,6 +39,7 @@
 import ragwortbarrow.core.store.KindWatcher
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.SafeWriter
+import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.store.listAll
 import ragwortbarrow.core.time.pause
@@ -52,6 +54,7 @@
 import ragwortbarrow.peer.GrpcChannels
 import ragwortbarrow.peer.GrpcFleetConnector
 import ragwortbarrow.peer.GrpcPeerServer
+import java.util.concurrent.TimeUnit
 
 /**
  * One entry node: the parts and how they are connected. All of them run on one event loop, since an entry VM has less
@@ -155,6 +158,13 @@
         loop.execute { changed.seedAddresses.forEach { link.contactSeed(it) } }
     }
 
+    /** Ends at once: connections close, and nothing is finished or handed over. */
+    fun close() {
+        scope.cancel()
+        peerServer.stop(limitMillis = 0)
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+    }
+
     /** Drains gracefully and calls [done] when nothing is left or the time is up. */
     fun stop(done: () -> Unit) {
         loop.execute { scope.launch { drain(done) } }
@@ -244,28 +254,29 @@
         }
     }
 
-    /** Makes this node known through the platform and learns of the others, again until the platform answers. */
+    /**
+     * Makes this node known through the platform and then learns of the others, again until the platform answers. In
+     * this order, of two nodes that start at the same time at least one sees the other.
+     */
     private suspend fun register() {
-        while (true) {
-            val listed = store.listAll(ObjectKind.ENTRY_NODES).fold({ it.items }, { null })
-            if (listed != null) {
-                listed.mapNotNull { it.node() }.forEach { link.members.learned(it) }
-                val spec = JsonObject(
-                    mapOf(
-                        "address" to JsonPrimitive(self.address),
-                        "incarnation" to JsonPrimitive(self.incarnation),
-                    ),
-                )
-                val own = listed.firstOrNull { it.name == self.vm.value }
-                val written = if (own == null) {
-                    writer.create(ObjectKind.ENTRY_NODES, self.vm.value, spec)
-                } else {
-                    writer.update(own, spec)
-                }
-                if (written.fold({ true }, { false })) return
-            }
-            timer.pause(REGISTER_RETRY_MILLIS)
+        val spec = JsonObject(
+            mapOf("address" to JsonPrimitive(self.address), "incarnation" to JsonPrimitive(self.incarnation)),
+        )
+        while (!(isRegistered(spec) && learnMembers())) timer.pause(REGISTER_RETRY_MILLIS)
+    }
+
+    private suspend fun isRegistered(spec: JsonObject): Boolean {
+        val own = store.get(ObjectKind.ENTRY_NODES, self.vm.value).getOrElse {
+            if (it !is StoreError.NotFound) return false
+            return writer.create(ObjectKind.ENTRY_NODES, self.vm.value, spec).isOk
         }
+        return writer.update(own, spec).isOk
+    }
+
+    private suspend fun learnMembers(): Boolean {
+        val listed = store.listAll(ObjectKind.ENTRY_NODES).getOrElse { return false }
+        listed.items.mapNotNull { it.node() }.forEach { link.members.learned(it) }
+        return true
     }
 
     private fun StoredObject.node(): FleetNode? {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -159,6 +159,7 @@
                     request.head.requestId,
                     isBatch = false,
                     onlyFresh = !route.isRepeatable && !route.isResumable,
+                    waitMillis = waitMillis,
                 ) { answer ->
                     if (waitMillis <= 0) parts.holds.firstByte(service, millisSince(sentNanos))
                     relay(answer, server).also {
--- /dev/null
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -0,0 +1,183 @@
+package ragwortbarrow.standins.operators
+
+import java.io.BufferedInputStream
+import java.io.IOException
+import java.io.InputStream
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executors
+import java.util.concurrent.locks.LockSupport
+
+/** One request as a runner received it. */
+class RunnerRequest(val method: String, val path: String, val headers: Map<String, String>, val body: String) {
+    fun header(name: String): String? = headers[name.lowercase()]
+}
+
+/** How a runner answers the next requests. */
+sealed interface RunnerBehaviour {
+    /** A whole answer with this body. */
+    data class Plain(val body: String, val status: Int = 200) : RunnerBehaviour
+
+    /** A whole answer after a while. */
+    data class Slow(val body: String, val delayMillis: Long) : RunnerBehaviour
+
+    /** A stream of [events] events, [gapMillis] apart; with [breakAfter] the connection breaks after that many. */
+    data class Stream(val events: Int, val gapMillis: Long = 1, val breakAfter: Int? = null) : RunnerBehaviour
+
+    /** Refused without having run. */
+    data object Full : RunnerBehaviour
+
+    /** The connection closes without an answer. */
+    data object Mute : RunnerBehaviour
+
+    /** A whole answer to some other request comes first, then the right one. */
+    data class Crossed(val body: String) : RunnerBehaviour
+
+    /** Success that bears no stamp. */
+    data class Unstamped(val body: String) : RunnerBehaviour
+
+    /** An answer that breaks off within its body. */
+    data class Truncated(val body: String) : RunnerBehaviour
+}
+
+/** A runner of the operators' platform on loopback. Behaviours are used up in order; the last one stays. */
+class OperatorRunnerStandIn(val id: String, vararg behaviours: RunnerBehaviour) : AutoCloseable {
+    private val socket = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    private val executor = Executors.newCachedThreadPool()
+    private val upcoming = ConcurrentLinkedQueue(behaviours.toList())
+
+    /** Requests that began to run. */
+    val ran = ConcurrentLinkedQueue<RunnerRequest>()
+
+    /** Connections on which the other side left before the answer was complete. */
+    val abandoned = ConcurrentLinkedQueue<String>()
+
+    val address: String get() = "127.0.0.1:${socket.localPort}"
+
+    init {
+        executor.execute {
+            while (!socket.isClosed) {
+                val connection = runCatching { socket.accept() }.getOrNull() ?: break
+                executor.execute { serve(connection) }
+            }
+        }
+    }
+
+    /** Replaces the behaviours. */
+    fun behave(vararg behaviours: RunnerBehaviour) {
+        upcoming.clear()
+        upcoming.addAll(behaviours)
+    }
+
+    override fun close() {
+        socket.close()
+        executor.shutdownNow()
+    }
+
+    private fun serve(connection: Socket) = connection.use {
+        connection.tcpNoDelay = true
+        val input = BufferedInputStream(connection.getInputStream())
+        try {
+            while (true) {
+                val request = read(input) ?: break
+                if (!answer(request, connection.getOutputStream())) break
+            }
+        } catch (failure: IOException) {
+            abandoned += failure.message.orEmpty()
+        }
+    }
+
+    private fun read(input: InputStream): RunnerRequest? {
+        val first = line(input) ?: return null
+        val headers = generateSequence { line(input)?.takeIf { it.isNotEmpty() } }
+            .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+        val body = input.readNBytes(headers["content-length"]?.toInt() ?: 0).decodeToString()
+        return RunnerRequest(first.split(' ')[0], first.split(' ')[1], headers, body)
+    }
+
+    private fun line(input: InputStream): String? {
+        val bytes = StringBuilder()
+        while (true) {
+            val byte = input.read()
+            if (byte < 0) return null
+            if (byte == '\n'.code) return bytes.toString().removeSuffix("\r")
+            bytes.append(byte.toChar())
+        }
+    }
+
+    /** Returns whether the connection stays open. */
+    private fun answer(request: RunnerRequest, output: OutputStream): Boolean {
+        if (request.header("X-Expect-Instance").let { it != null && it != id }) {
+            output.send("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: $id\r\nContent-Length: 0\r\n\r\n")
+            return true
+        }
+        val behaviour = if (upcoming.size > 1) upcoming.remove() else upcoming.peek()
+        if (behaviour != RunnerBehaviour.Full) ran += request
+        when (behaviour) {
+            is RunnerBehaviour.Plain -> output.send(whole(request, behaviour.status, behaviour.body))
+            is RunnerBehaviour.Slow -> {
+                LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
+                output.send(whole(request, 200, behaviour.body))
+            }
+            is RunnerBehaviour.Stream -> return stream(request, behaviour, output)
+            RunnerBehaviour.Full -> output.send(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            )
+            is RunnerBehaviour.Crossed -> {
+                output.send(whole(request, 200, "somebody else's", id = "other"))
+                output.send(whole(request, 200, behaviour.body))
+            }
+            is RunnerBehaviour.Unstamped -> output.send(
+                "HTTP/1.1 200 OK\r\n${echo(request)}Content-Length: ${behaviour.body.length}\r\n\r\n${behaviour.body}",
+            )
+            is RunnerBehaviour.Truncated -> {
+                output.send(whole(request, 200, behaviour.body).dropLast(1))
+                return false
+            }
+            RunnerBehaviour.Mute, null -> return false
+        }
+        return true
+    }
+
+    private fun stream(request: RunnerRequest, behaviour: RunnerBehaviour.Stream, output: OutputStream): Boolean {
+        val head = "HTTP/1.1 200 OK\r\n${echo(request)}X-Server-Stamp: stamp-$id\r\nContent-Type: text/event-stream\r\n"
+        output.send(head + "Transfer-Encoding: chunked\r\n\r\n")
+        val first = (request.header("Last-Event-Id")?.toInt() ?: 0) + 1
+        for ((index, event) in (first..behaviour.events).withIndex()) {
+            if (index == behaviour.breakAfter) {
+                output.send("9\r\nid: $event\n".take(PARTIAL_EVENT_BYTES))
+                return false
+            }
+            val text = "id: $event\ndata: piece $event\n\n"
+            output.send("${text.length.toString(HEX)}\r\n$text\r\n")
+            if (behaviour.gapMillis >
+                0
+            ) {
+                LockSupport.parkNanos(behaviour.gapMillis * 1_000_000)
+            }
+        }
+        output.send("0\r\n\r\n")
+        return true
+    }
+
+    private fun whole(request: RunnerRequest, status: Int, body: String, id: String? = null): String {
+        val echoed = if (id == null) echo(request) else "X-Request-Id: $id\r\n"
+        return "HTTP/1.1 $status Status\r\n${echoed}X-Server-Stamp: stamp-${this.id}\r\n" +
+            "Content-Length: ${body.length}\r\n\r\n$body"
+    }
+
+    private fun echo(request: RunnerRequest) = "X-Request-Id: ${request.header("X-Request-Id")}\r\n"
+
+    private fun OutputStream.send(text: String) {
+        write(text.encodeToByteArray())
+        flush()
+    }
+
+    private companion object {
+        const val HEX = 16
+        const val PARTIAL_EVENT_BYTES = 8
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -0,0 +1,222 @@
+package ragwortbarrow.standins.operators
+
+import com.sun.net.httpserver.HttpExchange
+import com.sun.net.httpserver.HttpServer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import java.net.InetSocketAddress
+import java.util.TreeMap
+import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * The operators' metadata store in memory: objects with revisions, conditional writes, paged lists and long-polling
+ * watches. Fault switches make it refuse, lose answers after the write took effect, or drop its history.
+ */
+class OperatorStoreStandIn(private val pageSize: Int = 500) : AutoCloseable {
+    private class Stored(
+        val name: String,
+        val rev: Long,
+        val createdRev: Long,
+        val spec: JsonElement,
+        val status: JsonElement,
+    )
+
+    private class Change(val rev: Long, val kind: String, val stored: Stored, val isDeleted: Boolean)
+
+    private val monitor = Object()
+    private val kinds = HashMap<String, TreeMap<String, Stored>>()
+    private val history = ArrayList<Change>()
+    private var revision = 1L
+    private var oldestKept = 0L
+    private val executor = Executors.newCachedThreadPool()
+    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
+
+    /** Every call is answered 503. */
+    @Volatile
+    var isDown = false
+
+    /** Writes take effect and their connections are closed without an answer, as often as this says. */
+    val answersToLose = AtomicInteger()
+
+    /** Calls that were received. */
+    val calls = AtomicInteger()
+
+    val address: String get() = "127.0.0.1:${server.address.port}"
+
+    init {
+        server.executor = executor
+        server.createContext("/objects/") { exchange ->
+            try {
+                handle(exchange)
+            } catch (failure: IllegalArgumentException) {
+                answer(exchange, 400, buildJsonObject { put("error", failure.message) })
+            }
+        }
+        server.start()
+    }
+
+    override fun close() {
+        server.stop(0)
+        executor.shutdownNow()
+    }
+
+    /** Writes an object as the operator or a backend server does. */
+    fun put(kind: String, name: String, spec: JsonObject) {
+        synchronized(monitor) { store(kind, name, spec, kinds[kind]?.get(name)?.status ?: JsonNull) }
+    }
+
+    fun remove(kind: String, name: String) {
+        synchronized(monitor) { delete(kind, name) }
+    }
+
+    fun spec(kind: String, name: String): JsonObject? = synchronized(monitor) {
+        kinds[kind]?.get(name)?.spec as? JsonObject
+    }
+
+    fun status(kind: String, name: String): JsonObject? =
+        synchronized(monitor) { kinds[kind]?.get(name)?.status as? JsonObject }
+
+    fun names(kind: String): List<String> = synchronized(monitor) { kinds[kind]?.keys.orEmpty().toList() }
+
+    /** Forgets all changes so far; watches from before are answered 410. */
+    fun dropHistory() = synchronized(monitor) {
+        history.clear()
+        oldestKept = revision
+        monitor.notifyAll()
+    }
+
+    private fun handle(exchange: HttpExchange) {
+        calls.incrementAndGet()
+        if (isDown) return answer(exchange, 503, JsonObject(emptyMap()))
+        val parts = exchange.requestURI.path.removePrefix("/objects/").split('/')
+        val query = exchange.requestURI.query.orEmpty().split('&').filter { '=' in it }
+            .associate { it.substringBefore('=') to it.substringAfter('=') }
+        val kind = parts[0]
+        val name = parts.getOrNull(1)
+        val body = exchange.requestBody.readBytes().decodeToString().takeIf { it.isNotEmpty() }
+            ?.let { Json.parseToJsonElement(it).jsonObject }
+        val (status, document) = when (exchange.requestMethod) {
+            "GET" -> read(kind, name, query)
+            "POST" -> synchronized(monitor) { create(kind, checkNotNull(body)) }
+            "PUT" -> synchronized(monitor) { replace(kind, checkNotNull(name), parts.getOrNull(2), checkNotNull(body)) }
+            "DELETE" -> synchronized(monitor) { deleteIf(kind, checkNotNull(name), query["rev"]?.toLong()) }
+            else -> 405 to JsonObject(emptyMap())
+        }
+        val isWrite = exchange.requestMethod != "GET"
+        if (isWrite && answersToLose.getAndUpdate { maxOf(0, it - 1) } > 0) return exchange.close()
+        answer(exchange, status, document)
+    }
+
+    private fun read(kind: String, name: String?, query: Map<String, String>): Pair<Int, JsonObject> = when {
+        name != null -> synchronized(monitor) { kinds[kind]?.get(name) }?.let { 200 to it.document() }
+            ?: (404 to JsonObject(emptyMap()))
+        "watch" in query -> watch(kind, query.getValue("watch").toLong(), query["wait_ms"]?.toLong() ?: 0)
+        else -> synchronized(monitor) { 200 to page(kind, query["after"]) }
+    }
+
+    private fun page(kind: String, after: String?) = buildJsonObject {
+        val all = kinds[kind]?.values.orEmpty().filter { after == null || it.name > after }
+        putJsonArray("items") { all.take(pageSize).forEach { add(it.document()) } }
+        put("truncated", all.size > pageSize)
+        put("store_revision", revision)
+    }
+
+    private fun watch(kind: String, from: Long, waitMillis: Long): Pair<Int, JsonObject> = synchronized(monitor) {
+        val until = System.nanoTime() + waitMillis * 1_000_000
+        while (true) {
+            if (from < oldestKept) return 410 to JsonObject(emptyMap())
+            val changes = history.filter { it.rev > from && it.kind == kind }
+            val leftMillis = (until - System.nanoTime()) / 1_000_000
+            if (changes.isNotEmpty() || leftMillis <= 0 || isDown) return 200 to events(changes)
+            monitor.wait(leftMillis)
+        }
+        @Suppress("UNREACHABLE_CODE")
+        error("the loop returns")
+    }
+
+    private fun events(changes: List<Change>) = buildJsonObject {
+        put(
+            "events",
+            JsonArray(
+                changes.map {
+                    buildJsonObject {
+                        put("deleted", it.isDeleted)
+                        put("object", it.stored.document())
+                    }
+                },
+            ),
+        )
+        put("store_revision", revision)
+    }
+
+    private fun create(kind: String, body: JsonObject): Pair<Int, JsonObject> {
+        val name = body.getValue("metadata").jsonObject.getValue("name").jsonPrimitive.content
+        kinds[kind]?.get(name)?.let { return 409 to it.document() }
+        return 200 to store(kind, name, body["spec"] ?: JsonNull, JsonNull).document()
+    }
+
+    private fun replace(kind: String, name: String, part: String?, body: JsonObject): Pair<Int, JsonObject> {
+        val before = kinds[kind]?.get(name) ?: return 404 to JsonObject(emptyMap())
+        val expected = (body["metadata"] as? JsonObject)?.get("rev")?.jsonPrimitive?.longOrNull
+        if (expected != null && expected != before.rev) return 409 to before.document()
+        val spec = if (part == null) body["spec"] ?: JsonNull else before.spec
+        val status = if (part == "status") body["status"] ?: JsonNull else before.status
+        if (spec == before.spec && status == before.status) return 200 to before.document()
+        return 200 to store(kind, name, spec, status).document()
+    }
+
+    private fun deleteIf(kind: String, name: String, expected: Long?): Pair<Int, JsonObject> {
+        val before = kinds[kind]?.get(name) ?: return 404 to JsonObject(emptyMap())
+        if (expected != null && expected != before.rev) return 409 to before.document()
+        delete(kind, name)
+        return 200 to before.document()
+    }
+
+    private fun store(kind: String, name: String, spec: JsonElement, status: JsonElement): Stored {
+        val ofKind = kinds.getOrPut(kind) { TreeMap() }
+        val rev = ++revision
+        val stored = Stored(name, rev, ofKind[name]?.createdRev ?: rev, spec, status)
+        ofKind[name] = stored
+        history += Change(rev, kind, stored, isDeleted = false)
+        monitor.notifyAll()
+        return stored
+    }
+
+    private fun delete(kind: String, name: String) {
+        val gone = kinds[kind]?.remove(name) ?: return
+        val rev = ++revision
+        history += Change(rev, kind, Stored(name, rev, gone.createdRev, gone.spec, gone.status), isDeleted = true)
+        monitor.notifyAll()
+    }
+
+    private fun Stored.document() = buildJsonObject {
+        putJsonObject("metadata") {
+            put("name", name)
+            put("rev", rev)
+            put("created_rev", createdRev)
+            put("finalizers", JsonArray(emptyList()))
+            put("deleting", JsonPrimitive(false))
+        }
+        put("spec", spec)
+        put("status", status)
+    }
+
+    private fun answer(exchange: HttpExchange, status: Int, document: JsonObject) {
+        val bytes = document.toString().encodeToByteArray()
+        exchange.responseHeaders.set("Content-Type", "application/json")
+        exchange.sendResponseHeaders(status, bytes.size.toLong())
+        exchange.responseBody.use { it.write(bytes) }
+    }
+}
