--- a/core/src/main/kotlin/ragwortbarrow/core/allowance/AllowanceLedger.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/allowance/AllowanceLedger.kt
@@ -19,10 +19,10 @@
 /**
  * Keeps each customer within its rate over all nodes without asking any of them for a request.
  *
- * Each node counts what it admitted in the window and tells the others a few times a second. A request is admitted while
- * the sum stays below rate × window + burst. Between two reports a node admits at most its share of what is left, so
- * that all nodes together cannot pass the limit on old reports. A node that is not heard of may be alive behind a
- * partition: its equal share of the whole is set aside, and it does the same for us.
+ * Each node counts what it admitted in the window and tells the others a few times a second. A request is admitted
+ * while the sum stays below rate × window + burst. Between two reports a node admits at most its share of what is
+ * left, so that all nodes together cannot pass the limit on old reports. A node that is not heard of may be alive
+ * behind a partition: its equal share of the whole is set aside, and it does the same for us.
  *
  * Load pattern: one customer sends many times its rate, over all nodes at once, also while a failure domain is cut off.
  */
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -29,9 +29,10 @@
  * Chooses backend servers for batch items, and the items that have to leave.
  *
  * Load pattern: online load alternates between a low and a high phase every few seconds, and batch items run for longer
- * than a phase. While batch is in no hurry it fills servers only in part, so that a rise of online load finds free slots
- * and few items have to be stopped; as its due time comes closer it fills more. An online request that finds a server
- * full takes the slot of a batch item at once. A stopped item goes on later from the event that it had reached.
+ * than a phase. While batch is in no hurry it fills servers only in part, so that a rise of online load finds free
+ * slots and few items have to be stopped; as its due time comes closer it fills more. An online request that finds a
+ * server full takes the slot of a batch item at once. A stopped item goes on later from the event that it had
+ * reached.
  */
 class BatchPlacement(
     private val board: ServerBoard,
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -74,9 +74,9 @@
     }
 
     /**
-     * When the [count]th of the online requests at [server] will have left. The ages of this node's own are known. After
-     * a jump of the load most are young, so the first slot becomes free much later than on average. Those of other nodes
-     * are taken to be spread evenly over the time that a request takes.
+     * When the [count]th of the online requests at [server] will have left. The ages of this node's own are known.
+     * After a jump of the load most are young, so the first slot becomes free much later than on average. Those of
+     * other nodes are taken to be spread evenly over the time that a request takes.
      */
     private fun departureMillis(server: BackendServer, count: Int): Double {
         val holdMillis = holds.holdMillis(server.service)
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Replays the sites' load: arrivals jump from a fifth of the slots to twice the slots for two seconds. Every request
-     * that is accepted during the jump starts within its target, and the slots stay in use.
+     * Replays the sites' load: arrivals jump from a fifth of the slots to twice the slots for two seconds. Every
+     * request that is accepted during the jump starts within its target, and the slots stay in use.
      */
     @Test
     fun `in a jump of the load accepted requests start within their target`() {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
@@ -37,8 +37,9 @@
 import java.util.Base64
 
 /**
- * Takes callers' calls for batch jobs at any node. A job is acknowledged once it is stored. Results are read at the node
- * that runs the job, and from the store when that node cannot be reached; only the store's word makes a job unknown.
+ * Takes callers' calls for batch jobs at any node. A job is acknowledged once it is stored. Results are read at the
+ * node that runs the job, and from the store when that node cannot be reached; only the store's word makes a job
+ * unknown.
  */
 class JobDesk(
     private val runner: JobRunner,
@@ -148,7 +149,8 @@
     internal suspend fun heldPage(job: String, customer: String, after: Int, waitMillis: Long): JobPage? {
         val held = runner.held(job) ?: return null
         if (held.job.customer != customer) return null
-        if (held.log.size <= after && !held.log.isFull && !held.isEnded && waitMillis > 0) {
+        val mayGrow = !held.log.isFull && !held.isEnded
+        if (held.log.size <= after && mayGrow && waitMillis > 0) {
             withTimeoutOrNull(waitMillis) { while (held.log.size <= after && !held.isEnded) held.changed() }
         }
         return JobPage(held.job.items.size, held.log.from(after).limited())
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -79,17 +79,20 @@
 
     private fun serve(connection: Socket) = connection.use {
         connection.tcpNoDelay = true
-        val input = BufferedInputStream(connection.getInputStream())
         try {
-            while (true) {
-                val request = read(input) ?: break
-                if (!answer(request, connection.getOutputStream())) break
-            }
+            serveAll(BufferedInputStream(connection.getInputStream()), connection.getOutputStream())
         } catch (failure: IOException) {
             abandoned += failure.message.orEmpty()
         }
     }
 
+    private fun serveAll(input: InputStream, output: OutputStream) {
+        while (true) {
+            val request = read(input) ?: return
+            if (!answer(request, output)) return
+        }
+    }
+
     private fun read(input: InputStream): RunnerRequest? {
         val first = line(input) ?: return null
         val headers = generateSequence { line(input)?.takeIf { it.isNotEmpty() } }
