Read results of a job that was taken over again from the store; notice silent servers

Both nodes kept a log of their own. A node now reads stored results again before it says that there are no more, tells the others what it took over, and lets go of what the store says another runs.

A server that is silent with requests of this node for half a second gets no new ones, and a request that may be repeated goes to another server while that can be in time.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
@@ -18,4 +18,6 @@
     val members: List<FleetNode>,
     /** Batch jobs that were cancelled lately. */
     val endedJobs: List<String>,
+    /** Batch jobs that the node runs and took over from another one. */
+    val takenJobs: List<String>,
 )
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -17,6 +17,7 @@
     private val onlineStarts = HashMap<BackendServerId, ArrayList<Long>>()
     private val peers = HashMap<VmId, Map<BackendServerId, Occupancy>>()
     private var peerTotals = emptyMap<BackendServerId, Occupancy>()
+    private val heardMillis = HashMap<BackendServerId, Long>()
     private val blockedUntilMillis = HashMap<BackendServerId, Long>()
 
     /** Replaces the list of servers. */
@@ -25,12 +26,25 @@
         byService = list.groupBy { it.service }
         health.retain(servers.keys)
         blockedUntilMillis.keys.retainAll(servers.keys)
+        heardMillis.keys.retainAll(servers.keys)
     }
 
     fun server(id: BackendServerId): BackendServer? = servers[id]
 
     fun all(): Collection<BackendServer> = servers.values
 
+    /** Bytes of an answer came from [server]. */
+    fun heard(server: BackendServerId) {
+        heardMillis[server] = timer.monotonicMillis()
+    }
+
+    /**
+     * Whether [server] has sent nothing for [SILENT_MILLIS] although requests of this node are there. Engines send an
+     * event every few tens of milliseconds, so one of them that is silent with requests to run is stuck or cut off.
+     */
+    fun isSilent(server: BackendServerId): Boolean =
+        ownOccupancy(server).total > 0 && timer.monotonicMillis() - (heardMillis[server] ?: 0) > SILENT_MILLIS
+
     /** Servers of [service] that may get a new request, apart from [except]. */
     fun eligible(service: String, except: Set<BackendServerId> = emptySet()): List<BackendServer> {
         val ofService = byService[service] ?: return emptyList()
@@ -38,7 +52,7 @@
         val usable = ofService.filter {
             !it.isDraining && it.id !in except && (blockedUntilMillis[it.id] ?: 0) <= nowMillis
         }
-        return usable.filter { health.isUsable(it.id) }
+        return usable.filter { health.isUsable(it.id) && !isSilent(it.id) }
     }
 
     /** All servers of [service] that are not leaving, also those that failed lately. */
@@ -108,6 +122,7 @@
 
     private fun count(server: BackendServerId, isBatch: Boolean, change: Int) {
         val before = own[server] ?: NONE
+        if (before.total == 0) heard(server)
         val after = if (isBatch) {
             before.copy(batch = before.batch + change)
         } else {
@@ -118,5 +133,8 @@
 
     private companion object {
         val NONE = Occupancy()
+
+        /** Longer than a request that is accepted queues at a server before its first byte. */
+        const val SILENT_MILLIS = 500L
     }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.entry
 
 import io.netty.handler.codec.http.HttpResponse
+import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.ServerBoard
 import ragwortbarrow.http.HttpAnswer
@@ -33,14 +34,16 @@
         isBatch: Boolean,
         onlyFresh: Boolean,
         waitMillis: Double = 0.0,
+        headLimitMillis: Long = Long.MAX_VALUE,
         read: suspend (EngineAnswer) -> T,
     ): T {
         val startMillis = board.began(server.id, isBatch, waitMillis)
         var connection: HttpClientConnection? = null
         try {
             connection = pool.acquire(server.address, if (onlyFresh) FRESH_SHARE else KEPT_SHARE)
-            val answer = connection.send(request) { protocol.belongs(it, requestId) }
-            val response = answer.head()
+            val answer = connection.send(request, { board.heard(server.id) }) { protocol.belongs(it, requestId) }
+            val response = withTimeoutOrNull(headLimitMillis) { answer.head() }
+                ?: throw HttpFailure.Broken("no answer within $headLimitMillis ms")
             val result = read(EngineAnswer(protocol.answerHead(response), response, answer))
             pool.release(connection)
             connection = null
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import ragwortbarrow.core.error.ResultCode
 import java.time.Duration
+import java.util.TreeMap
 import java.util.concurrent.TimeUnit
 
 /** Counters and latency histograms of an entry node. */
@@ -15,6 +16,8 @@
     private val requests = HashMap<Pair<String, Int>, Timer>()
     private val firstEvents = HashMap<String, Timer>()
     private val refusals = HashMap<ResultCode, Counter>()
+    private val platformCalls = HashMap<Pair<String, String>, Counter>()
+    private val callsSinceSummary = TreeMap<String, Int>()
     private val counters = HashMap<String, Counter>()
 
     fun requestFinished(route: String, status: Int, nanos: Long) = requests.getOrPut(route to status) {
@@ -38,6 +41,18 @@
         Counter.builder("ragwortbarrow.entry.$name").register(registry)
     }.increment()
 
+    /** Counts one call to the platform's store, such as `watch.servers`, by its outcome. */
+    fun platformCalled(call: String, outcome: String) {
+        callsSinceSummary.merge("$call:$outcome", 1, Int::plus)
+        platformCalls.getOrPut(call to outcome) {
+            Counter.builder("ragwortbarrow.entry.platform.calls").description("Calls to the platform's store")
+                .tag("call", call).tag("outcome", outcome).register(registry)
+        }.increment()
+    }
+
+    /** Calls to the platform's store since this was last asked. */
+    fun takeCallSummary(): Map<String, Int> = callsSinceSummary.toMap().also { callsSinceSummary.clear() }
+
     fun gauge(name: String, description: String, value: () -> Number) {
         Gauge.builder("ragwortbarrow.entry.$name", value).description(description).register(registry)
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -139,6 +139,8 @@
         link.membershipChanged = warden::membershipChanged
         link.refreshed = runner::refresh
         link.loadsChanged = runner::giveBack
+        link.takenJobs = runner::takenJobs
+        link.othersTook = runner::othersTook
         gauges()
         peerServer.start()
         health.bind(settings.healthAddress)
@@ -148,6 +150,7 @@
             link.start(settings.seedAddresses)
             warden.start()
             scope.launch { register() }
+            timer.every(SUMMARY_MILLIS) { summarize() }
         }
         log.record("started", "vm" to self.vm, "incarnation" to self.incarnation, "callers" to settings.callerAddress)
     }
@@ -199,6 +202,19 @@
         board.busiestBatchPeer(server.id)?.let { vm -> loop.execute { link.pushTo(vm) } }
     }
 
+    private fun summarize() {
+        log.record(
+            "summary",
+            "in_flight" to handler.inFlight,
+            "connections" to front.openConnections,
+            "items_running" to runner.runningItems,
+            "items_waiting" to runner.waitingItems,
+            "members" to members.size,
+            "silent" to members.silent,
+            "platform_calls" to metrics.takeCallSummary().entries.joinToString(",") { "${it.key}=${it.value}" },
+        )
+    }
+
     private fun callerLimits(): HttpServerLimits {
         val limits = configuration.table?.limits ?: return HttpServerLimits()
         return HttpServerLimits(
@@ -321,6 +337,9 @@
 
         const val REGISTER_RETRY_MILLIS = 1_000L
 
+        /** One line of totals in this time. */
+        const val SUMMARY_MILLIS = 10_000L
+
         /** How long a node leaves a retirement to each node before it in the order of names. */
         const val RETIREMENT_TURN_MILLIS = 400L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
@@ -55,6 +55,12 @@
     /** Called after each period. */
     var refreshed: () -> Unit = {}
 
+    /** Jobs that this node took over from others. */
+    var takenJobs: () -> List<String> = { emptyList() }
+
+    /** Called with jobs that another node says it took over. */
+    var othersTook: (jobs: List<String>) -> Unit = {}
+
     /** Called when another node told of its loads. */
     var loadsChanged: () -> Unit = {}
 
@@ -125,6 +131,7 @@
         loadsChanged()
         parts.ledger.peerReport(vm, state.admitted)
         parts.endedJobs.learned(state.endedJobs)
+        if (state.takenJobs.isNotEmpty()) othersTook(state.takenJobs)
         for (node in state.members) if (members.learned(node)) call(node)
         if (isNews || state.isLeaving) {
             unreachable.remove(vm)
@@ -183,6 +190,7 @@
         admitted = report,
         members = members.others(),
         endedJobs = parts.endedJobs.recent(),
+        takenJobs = takenJobs(),
     )
 
     private companion object {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -160,6 +160,7 @@
                     isBatch = false,
                     onlyFresh = !route.isRepeatable && !route.isResumable,
                     waitMillis = waitMillis,
+                    headLimitMillis = headLimitMillis(waitMillis),
                 ) { answer ->
                     if (waitMillis <= 0) parts.holds.firstByte(service, millisSince(sentNanos))
                     relay(answer, server).also {
@@ -176,6 +177,17 @@
             }
         }
 
+        /**
+         * A server that is cut off or stuck answers nothing. A request that may be sent again goes to another server
+         * while that can still be in time; any other one waits.
+         */
+        private fun headLimitMillis(waitMillis: Double): Long = when {
+            possibleRuns + 1 >= route.maxAttempts -> Long.MAX_VALUE
+            route.isResumable -> SILENCE_MILLIS + waitMillis.toLong()
+            route.isRepeatable -> maxOf(route.targetLatencyMillis, SILENCE_MILLIS / 2) + waitMillis.toLong()
+            else -> Long.MAX_VALUE
+        }
+
         private suspend fun relay(answer: EngineAnswer, server: BackendServer): Attempt {
             val head = answer.head
             return when {
@@ -279,8 +291,8 @@
         /** A server that said that it is full gets nothing new for this long; about one slot becomes free meanwhile. */
         const val FULL_PAUSE_MILLIS = 60L
 
-        /** Silence after which a resumable stream goes on elsewhere; four times the pause that callers expect. */
-        const val SILENCE_MILLIS = 1_000L
+        /** Silence after which a resumable stream goes on elsewhere; twice the pause that callers expect. */
+        const val SILENCE_MILLIS = 600L
 
         const val RETRY_MILLIS = 1_000L
         const val SERVICE_UNAVAILABLE = 503
--- a/entry/src/main/kotlin/ragwortbarrow/entry/HeldJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/HeldJob.kt
@@ -8,12 +8,20 @@
 import ragwortbarrow.core.jobs.ResultLog
 
 /** A batch job that this node runs: its items without a result, those that run, and the results to be stored. */
-internal class HeldJob(val job: BatchJob, val log: ResultLog, maxAttempts: Int) {
+internal class HeldJob(
+    val job: BatchJob,
+    val log: ResultLog,
+    maxAttempts: Int,
+    /** Whether another node ran the job before, which may still be alive and store results. */
+    val isTakenOver: Boolean,
+) {
     val waiting = ArrayDeque<ItemProgress>()
     val running = HashMap<ItemProgress, RunningItem>()
     val toStore = ArrayList<ItemResult>()
     var isEnded = false
     var isStoring = false
+    var isConfirming = false
+    var readAtNanos = 0L
     private var readers = CompletableDeferred<Unit>()
 
     init {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
@@ -52,7 +52,11 @@
     private val log: DecisionLog,
 ) {
     /** A job that another node runs, as this node last knew it. */
-    private class Remote(val job: BatchJob, val holder: JobHolder, val results: ResultLog)
+    private class Remote(val job: BatchJob, val holder: JobHolder, val results: ResultLog) {
+        /** When the store was last asked for the state and for results. */
+        var stateAtNanos = Long.MIN_VALUE
+        var resultsAtNanos = Long.MIN_VALUE
+    }
 
     private val remotes = object : LinkedHashMap<String, Remote>() {
         override fun removeEldestEntry(eldest: Map.Entry<String, Remote>) = size > MAX_REMOTES
@@ -149,6 +153,7 @@
     internal suspend fun heldPage(job: String, customer: String, after: Int, waitMillis: Long): JobPage? {
         val held = runner.held(job) ?: return null
         if (held.job.customer != customer) return null
+        if (held.log.size <= after && !held.log.isFull) runner.readAgain(held)
         val mayGrow = !held.log.isFull && !held.isEnded
         if (held.log.size <= after && mayGrow && waitMillis > 0) {
             withTimeoutOrNull(waitMillis) { while (held.log.size <= after && !held.isEnded) held.changed() }
@@ -175,12 +180,18 @@
         if (!remote.results.isFull) {
             val fromPeer = askHolder(remote) { it.readResults(job, customer, after, waitMillis) }
             if (fromPeer != null) return Ok(fromPeer)
-            remotes.remove(job)
-            records.readResults(job, remote.results).fold({}, { return Err(it) })
+            if (isDue(remote.resultsAtNanos)) {
+                records.readResults(job, remote.results).getOrElse { return Err(it) }
+                remote.resultsAtNanos = timer.nanoTime()
+            }
         }
-        return Ok(JobPage(remote.job.items.size, remote.results.from(after)))
+        return Ok(JobPage(remote.job.items.size, remote.results.from(after).limited()))
     }
 
+    /** Whether what the store said at [readAtNanos] is too old for a caller that has seen more elsewhere. */
+    private fun isDue(readAtNanos: Long) =
+        readAtNanos == Long.MIN_VALUE || timer.nanoTime() - readAtNanos >= READ_AGAIN_NANOS
+
     private suspend fun item(job: String, customer: String, item: String): Result<ByteArray?, StoreError> {
         val held = heldItem(job, customer, item)
         if (held.isHeld) return Ok(held.body)
@@ -191,21 +202,20 @@
 
     /** The job as the store has it, with the node that runs it; null if there is no such job. */
     private suspend fun remote(id: String): Result<Remote?, StoreError> {
-        remotes[id]?.let { if (members.mayRun(it.holder)) return Ok(it) }
-        val job = remotes[id]?.job ?: records.job(id).getOrElse {
-            return if (it is StoreError.NotFound) {
-                Ok(null)
-            } else {
-                Err(it)
-            }
+        val known = remotes[id]
+        if (known != null && (members.mayRun(known.holder) || !isDue(known.stateAtNanos))) return Ok(known)
+        val job = known?.job ?: records.job(id).getOrElse {
+            return if (it is StoreError.NotFound) Ok(null) else Err(it)
         }
         var holder = job.holder
-        if (!members.mayRun(holder)) {
-            val state = records.state(id).getOrElse { return Err(it) }
-            holder = state.holder ?: holder
+        if (known != null || !members.mayRun(holder)) {
+            holder = records.state(id).getOrElse { return Err(it) }.holder ?: holder
         }
-        val results = remotes[id]?.results ?: ResultLog(job.items.size)
-        return Ok(Remote(job, holder, results).also { remotes[id] = it })
+        val remote = Remote(job, holder, known?.results ?: ResultLog(job.items.size))
+        remote.stateAtNanos = timer.nanoTime()
+        remote.resultsAtNanos = known?.resultsAtNanos ?: Long.MIN_VALUE
+        remotes[id] = remote
+        return Ok(remote)
     }
 
     private suspend fun <T> askHolder(remote: Remote, ask: suspend (FleetPeer) -> Result<T?, PeerError>): T? {
@@ -266,6 +276,9 @@
         /** Jobs of other nodes that are remembered with their bodies, of some 15 KB each. */
         const val MAX_REMOTES = 200
 
+        /** Callers rely on a result at all nodes one second after they have seen it at one. */
+        const val READ_AGAIN_NANOS = 400_000_000L
+
         /** The longest wait for results; callers allow for a second. */
         const val MAX_WAIT_MILLIS = 1_000L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -58,14 +58,44 @@
     val waitingItems: Int get() = held.values.sumOf { it.waiting.size }
 
     /** Begins or goes on with [job], of which [results] are stored. */
-    fun hold(job: BatchJob, results: ResultLog) {
+    fun hold(job: BatchJob, results: ResultLog, isTakenOver: Boolean = false) {
         if (job.id in held || isStopping) return
         val route = route(job)
-        held[job.id] = HeldJob(job, results, route?.maxAttempts ?: 1)
+        held[job.id] = HeldJob(job, results, route?.maxAttempts ?: 1, isTakenOver)
         log.record("job_held", "job" to job.id, "items" to job.items.size, "stored" to results.size)
         schedule()
     }
 
+    /** Jobs that this node took over and runs. */
+    fun takenJobs(): List<String> = held.values.filter { it.isTakenOver && !it.log.isFull }.map { it.job.id }
+
+    /** Another node says that it took over [jobs]; the store says who runs those that this node runs too. */
+    fun othersTook(jobs: List<String>) {
+        for (id in jobs) {
+            val job = held[id] ?: continue
+            if (job.isConfirming) continue
+            job.isConfirming = true
+            scope.launch {
+                confirmHolder(job)
+                job.isConfirming = false
+            }
+        }
+    }
+
+    /** Lets go of a job that the store says another node runs. */
+    fun release(id: String, holder: JobHolder) = drop(id, holder)
+
+    /**
+     * Reads results that the node from which [job] was taken over may have stored since. A caller that has seen a
+     * result at another node must find it here too.
+     */
+    internal suspend fun readAgain(job: HeldJob) {
+        val nowNanos = timer.nanoTime()
+        if (!job.isTakenOver || nowNanos - job.readAtNanos < READ_AGAIN_NANOS) return
+        job.readAtNanos = nowNanos
+        catchUp(job)
+    }
+
     /** The job was cancelled: its items stop, and no more results are stored than have arrived. */
     fun end(id: String): Boolean {
         val job = held[id] ?: return false
@@ -307,13 +337,22 @@
 
     /** Another node has stored results of this job: it was taken over, or an earlier copy of this write landed. */
     private suspend fun lostRace(job: HeldJob) {
-        val id = job.job.id
-        parts.records.readResults(id, job.log).fold({}, { timer.pause(RETRY_MILLIS) })
+        if (!catchUp(job)) timer.pause(RETRY_MILLIS)
+        confirmHolder(job)
+    }
+
+    private suspend fun catchUp(job: HeldJob): Boolean {
+        val isRead = parts.records.readResults(job.job.id, job.log).isOk
         job.wakeReaders()
         job.waiting.removeAll { job.log.holds(it.item.id) }
         job.running.filterKeys { job.log.holds(it.item.id) }.values.forEach { it.job?.cancel() }
-        val holder = parts.records.state(id).fold({ it.holder }, { null }) ?: return
-        if (holder != JobHolder(parts.members.self.vm.value, parts.members.self.incarnation)) drop(id, holder)
+        return isRead
+    }
+
+    private suspend fun confirmHolder(job: HeldJob) {
+        val holder = parts.records.state(job.job.id).fold({ it.holder }, { null }) ?: return
+        val self = JobHolder(parts.members.self.vm.value, parts.members.self.incarnation)
+        if (holder != self && held[job.job.id] === job) drop(job.job.id, holder)
     }
 
     private fun drop(id: String, holder: JobHolder) {
@@ -333,6 +372,9 @@
 
         const val RETRY_MILLIS = 300L
 
+        /** Callers rely on a result at all nodes one second after they have seen it at one. */
+        const val READ_AGAIN_NANOS = 400_000_000L
+
         /** Assumed run time of an item until one has run whole. */
         const val UNKNOWN_RUN_MILLIS = 5_000.0
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
@@ -89,6 +89,7 @@
             return
         }
         val holder = state.holder ?: job.holder
+        if (holder != self && runner.held(job.id) != null) runner.release(job.id, holder)
         if (members.mayRun(holder)) {
             // This node was restarted by nobody, yet does not run the job: it was told to drop it by mistake.
             if (holder == self && runner.held(job.id) == null) takeOver(job, holder)
@@ -114,7 +115,7 @@
             "stored" to results.size,
             "total" to job.items.size,
         )
-        if (after.holder == self && !after.isFinished && !after.isEnded) runner.hold(job, results)
+        if (after.holder == self && !after.isFinished && !after.isEnded) runner.hold(job, results, isTakenOver = true)
     }
 
     private val self get() = JobHolder(members.self.vm.value, members.self.incarnation)
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -8,7 +8,10 @@
  * The answer to one request as it arrives. [belongs] decides whether an answer on the connection is the one to this
  * request; others are skipped whole.
  */
-class HttpAnswer internal constructor(internal val belongs: (HttpResponse) -> Boolean) {
+class HttpAnswer internal constructor(
+    private val progressed: () -> Unit,
+    internal val belongs: (HttpResponse) -> Boolean,
+) {
     private val head = CompletableDeferred<HttpResponse>()
     private val chunks = Channel<ByteArray>(Channel.UNLIMITED)
 
@@ -41,10 +44,12 @@
     }
 
     internal fun onHead(response: HttpResponse) {
+        progressed()
         head.complete(response)
     }
 
     internal fun onBytes(bytes: ByteArray) {
+        progressed()
         chunks.trySend(bytes)
     }
 
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -35,9 +35,16 @@
 
     val isOpen: Boolean get() = channel.isActive
 
-    /** Sends [request] and returns its answer, whose head may not have arrived yet. */
-    fun send(request: HttpRequestMessage, belongs: (HttpResponse) -> Boolean = { true }): HttpAnswer {
-        val sent = HttpAnswer(belongs)
+    /**
+     * Sends [request] and returns its answer, whose head may not have arrived yet. [progressed] is called with the head
+     * and with each part of the body.
+     */
+    fun send(
+        request: HttpRequestMessage,
+        progressed: () -> Unit = {},
+        belongs: (HttpResponse) -> Boolean = { true },
+    ): HttpAnswer {
+        val sent = HttpAnswer(progressed, belongs)
         answer = sent
         written = false
         closeAfterAnswer = false
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -21,7 +21,7 @@
  */
 class HttpClientPool(
     private val loop: EventLoop,
-    private val connectTimeoutMillis: Int = 300,
+    private val connectTimeoutMillis: Int = 200,
     private val opened: (address: String) -> Unit = {},
 ) {
     private val idle = HashMap<String, ArrayDeque<HttpClientConnection>>()
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -40,6 +40,7 @@
     )
     .addAllMembers(members.map { it.toWire() })
     .addAllEndedJobs(endedJobs)
+    .addAllTakenJobs(takenJobs)
     .build()
 
 internal fun WireNodeState.toCore() = NodeState(
@@ -51,6 +52,7 @@
     admitted = usesList.associate { CustomerId(it.customer) to it.admitted },
     members = membersList.map { it.toCore() },
     endedJobs = endedJobsList.toList(),
+    takenJobs = takenJobsList.toList(),
 )
 
 internal fun Snapshot.toWire(): WireSnapshot =
