--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
@@ -56,6 +56,9 @@
         /** When the store was last asked for the state and for results. */
         var stateAtNanos = Long.MIN_VALUE
         var resultsAtNanos = Long.MIN_VALUE
+
+        /** The holder could not be asked or said that it does not run the job. */
+        var isHolderDoubtful = false
     }
 
     private val remotes = object : LinkedHashMap<String, Remote>() {
@@ -180,6 +183,7 @@
         if (!remote.results.isFull) {
             val fromPeer = askHolder(remote) { it.readResults(job, customer, after, waitMillis) }
             if (fromPeer != null) return Ok(fromPeer)
+            remote.isHolderDoubtful = true
             if (isDue(remote.resultsAtNanos)) {
                 records.readResults(job, remote.results).getOrElse { return Err(it) }
                 remote.resultsAtNanos = timer.nanoTime()
@@ -203,7 +207,8 @@
     /** The job as the store has it, with the node that runs it; null if there is no such job. */
     private suspend fun remote(id: String): Result<Remote?, StoreError> {
         val known = remotes[id]
-        if (known != null && (members.mayRun(known.holder) || !isDue(known.stateAtNanos))) return Ok(known)
+        val isHolderFine = known != null && members.mayRun(known.holder) && !known.isHolderDoubtful
+        if (known != null && (isHolderFine || !isDue(known.stateAtNanos))) return Ok(known)
         val job = known?.job ?: records.job(id).getOrElse {
             return if (it is StoreError.NotFound) Ok(null) else Err(it)
         }
