--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetNode.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetNode.kt
@@ -1,6 +1,12 @@
 package ragwortbarrow.core.fleet
 
+import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
 
 /** A node of the fleet: its VM, where its peers reach it, and a number that grows with each start. */
-data class FleetNode(val vm: VmId, val address: String, val incarnation: Long)
+data class FleetNode(
+    val vm: VmId,
+    val address: String,
+    val incarnation: Long,
+    val failureDomain: FailureDomainId = FailureDomainId(""),
+)
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
@@ -15,9 +15,12 @@
     val loads: Map<BackendServerId, Occupancy>,
     /** Requests of each customer that the node admitted in the window of its rate. */
     val admitted: Map<CustomerId, Int>,
+    /** Left out of most reports, since members change seldom. */
     val members: List<FleetNode>,
     /** Batch jobs that were cancelled lately. */
     val endedJobs: List<String>,
     /** Batch jobs that the node runs and took over from another one. */
     val takenJobs: List<String>,
+    /** Batch jobs that the node accepted in the last second and runs. */
+    val acceptedJobs: List<String>,
 )
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -26,6 +26,7 @@
 import ragwortbarrow.core.fleet.NodeState
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.fleet.SnapshotKind
+import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.jobs.JobRecords
 import ragwortbarrow.core.log.DecisionLog
@@ -72,7 +73,12 @@
     private val timer = EventLoopTimerService(loop)
     private val metrics = EntryMetrics()
     private val platform = platform(loop, metrics)
-    private val self = FleetNode(settings.vm, settings.peerAddress, System.currentTimeMillis())
+    private val self = FleetNode(
+        settings.vm,
+        settings.peerAddress,
+        incarnation = System.currentTimeMillis(),
+        settings.failureDomain,
+    )
 
     private val board = ServerBoard(timer)
     private val holds = HoldTimes()
@@ -141,6 +147,8 @@
         link.loadsChanged = runner::giveBack
         link.takenJobs = runner::takenJobs
         link.othersTook = runner::othersTook
+        link.acceptedJobs = jobs::acceptedLately
+        link.othersAccepted = jobs::othersAccepted
         gauges()
         peerServer.start()
         health.bind(settings.healthAddress)
@@ -242,7 +250,8 @@
         store = store,
         timer = timer,
         scope = scope,
-        elected = { true },
+        // While the store does not answer, one watcher tries for all of them.
+        elected = { kind == ObjectKind.PUBLISHED_CONFIGURATIONS || platform.isStoreAnswering },
         changed = { changed(it) },
         listed = { listed(it) },
         removed = { name, version -> removed(name, version) },
@@ -276,7 +285,11 @@
      */
     private suspend fun register() {
         val spec = JsonObject(
-            mapOf("address" to JsonPrimitive(self.address), "incarnation" to JsonPrimitive(self.incarnation)),
+            mapOf(
+                "address" to JsonPrimitive(self.address),
+                "incarnation" to JsonPrimitive(self.incarnation),
+                "failureDomain" to JsonPrimitive(self.failureDomain.value),
+            ),
         )
         while (!(isRegistered(spec) && learnMembers())) timer.pause(REGISTER_RETRY_MILLIS)
     }
@@ -298,7 +311,8 @@
     private fun StoredObject.node(): FleetNode? {
         val address = spec["address"]?.jsonPrimitive?.content ?: return null
         val incarnation = spec["incarnation"]?.jsonPrimitive?.longOrNull ?: return null
-        return FleetNode(VmId(name), address, incarnation)
+        val domain = spec["failureDomain"]?.jsonPrimitive?.content.orEmpty()
+        return FleetNode(VmId(name), address, incarnation, FailureDomainId(domain))
     }
 
     private fun gauges() {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryPlatform.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryPlatform.kt
@@ -12,6 +12,9 @@
     val protocol: EntryProtocol
     val store: ObjectStore
 
+    /** False while calls to the store go unanswered. */
+    val isStoreAnswering: Boolean
+
     /** Throws [IllegalArgumentException] for a document that is not a configuration. */
     fun configuration(document: String): RoutingTable
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
@@ -45,6 +45,7 @@
     private val calling = HashSet<VmId>()
     private val unreachable = HashSet<VmId>()
     private val behindSince = HashMap<SnapshotKind, Long>()
+    private var ticks = 0L
     private var report = emptyMap<CustomerId, Int>()
 
     var isLeaving = false
@@ -58,6 +59,12 @@
     /** Jobs that this node took over from others. */
     var takenJobs: () -> List<String> = { emptyList() }
 
+    /** Jobs that this node accepted lately. */
+    var acceptedJobs: () -> List<String> = { emptyList() }
+
+    /** Called with jobs that another node accepted and runs. */
+    var othersAccepted: (jobs: List<String>, node: FleetNode) -> Unit = { _, _ -> }
+
     /** Called with jobs that another node says it took over. */
     var othersTook: (jobs: List<String>) -> Unit = {}
 
@@ -93,9 +100,13 @@
     }
 
     private fun tick() {
+        ticks++
         report = parts.ledger.report()
         for (node in members.others()) {
             val isCaller = members.self.vm.value < node.vm.value
+            // Bytes between failure domains cost more, and most placements stay within one.
+            val isNear = node.failureDomain == members.self.failureDomain
+            if (!isNear && ticks % FAR_EVERY != 0L && members.isReachable(node.vm)) continue
             // The other side calls, but a side that hears nothing tries as well: a cut may be one-way.
             if (isCaller || !members.isReachable(node.vm)) call(node)
         }
@@ -132,6 +143,7 @@
         parts.ledger.peerReport(vm, state.admitted)
         parts.endedJobs.learned(state.endedJobs)
         if (state.takenJobs.isNotEmpty()) othersTook(state.takenJobs)
+        if (state.acceptedJobs.isNotEmpty()) othersAccepted(state.acceptedJobs, state.sender)
         for (node in state.members) if (members.learned(node)) call(node)
         if (isNews || state.isLeaving) {
             unreachable.remove(vm)
@@ -188,12 +200,20 @@
         serversRevision = parts.servers.revision,
         loads = parts.board.ownLoads(),
         admitted = report,
-        members = members.others(),
+        members = if (ticks % MEMBERS_EVERY == 0L || ticks < MEMBERS_FIRST) members.others() else emptyList(),
         endedJobs = parts.endedJobs.recent(),
         takenJobs = takenJobs(),
+        acceptedJobs = acceptedJobs(),
     )
 
     private companion object {
+        /** Other failure domains are told every second period. */
+        const val FAR_EVERY = 2L
+
+        /** Reports that name the members: the first ones, and then one in two seconds. */
+        const val MEMBERS_FIRST = 10L
+        const val MEMBERS_EVERY = 10L
+
         /** How long the platform's own watch may be behind a peer before the peer is asked; two periods. */
         const val PATIENCE_NANOS = 400_000_000L
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
@@ -52,7 +52,11 @@
     private val log: DecisionLog,
 ) {
     /** A job that another node runs, as this node last knew it. */
-    private class Remote(val job: BatchJob, val holder: JobHolder, val results: ResultLog) {
+    private class Remote(val holder: JobHolder) {
+        /** The job itself, once it had to be read from the store. */
+        var job: BatchJob? = null
+        var results: ResultLog? = null
+
         /** When the store was last asked for the state and for results. */
         var stateAtNanos = Long.MIN_VALUE
         var resultsAtNanos = Long.MIN_VALUE
@@ -64,6 +68,19 @@
     private val remotes = object : LinkedHashMap<String, Remote>() {
         override fun removeEldestEntry(eldest: Map.Entry<String, Remote>) = size > MAX_REMOTES
     }
+    private val acceptedAtNanos = LinkedHashMap<String, Long>()
+
+    /** Jobs that this node accepted within the last second, for the other nodes. */
+    fun acceptedLately(): List<String> {
+        val nowNanos = timer.nanoTime()
+        acceptedAtNanos.values.removeIf { nowNanos - it > ACCEPTED_NANOS }
+        return acceptedAtNanos.keys.toList()
+    }
+
+    /** [node] runs [jobs]; callers that ask here need no word of the store. */
+    fun othersAccepted(jobs: List<String>, node: FleetNode) {
+        for (job in jobs) remotes.getOrPut(job) { Remote(JobHolder(node.vm.value, node.incarnation)) }
+    }
 
     suspend fun submit(
         message: HttpRequestMessage,
@@ -88,6 +105,7 @@
         records.create(job).fold(
             {
                 runner.hold(job, ResultLog(items.size))
+                acceptedAtNanos[job.id] = timer.nanoTime()
                 accepted(head, reply, route, items.size, "stored", arrivedNanos)
             },
             { error ->
@@ -135,9 +153,9 @@
     }
 
     suspend fun end(call: CallerCall.EndJob, head: CallerHead, customer: String, reply: HttpReply) {
-        val job = runner.held(call.job)?.job ?: remote(call.job).fold({ it?.job }, {
+        val job = runner.held(call.job)?.job ?: storedJob(call.job, remotes[call.job]).getOrElse {
             return refuse(head, reply, ResultCode.PLATFORM_UNAVAILABLE, it.message)
-        })
+        }
         if (job == null || job.customer != customer) {
             return refuse(head, reply, ResultCode.NOT_FOUND, "no job ${call.job}")
         }
@@ -178,57 +196,75 @@
         waitMillis: Long,
     ): Result<JobPage?, StoreError> {
         heldPage(job, customer, after, waitMillis)?.let { return Ok(it) }
-        val remote = remote(job).getOrElse { return Err(it) }
-        if (remote == null || remote.job.customer != customer) return Ok(null)
-        if (!remote.results.isFull) {
-            val fromPeer = askHolder(remote) { it.readResults(job, customer, after, waitMillis) }
+        val remote = remote(job).getOrElse { return Err(it) } ?: return Ok(null)
+        val known = remote.results
+        if (known == null || !known.isFull) {
+            val fromPeer = askHolder(job, remote) { it.readResults(job, customer, after, waitMillis) }
             if (fromPeer != null) return Ok(fromPeer)
             remote.isHolderDoubtful = true
-            if (isDue(remote.resultsAtNanos)) {
-                records.readResults(job, remote.results).getOrElse { return Err(it) }
-                remote.resultsAtNanos = timer.nanoTime()
-            }
         }
-        return Ok(JobPage(remote.job.items.size, remote.results.from(after).limited()))
+        val stored = storedJob(job, remote).getOrElse { return Err(it) }
+        if (stored == null || stored.customer != customer) return Ok(null)
+        val results = remote.results ?: ResultLog(stored.items.size).also { remote.results = it }
+        if (!results.isFull && isDue(remote.resultsAtNanos)) {
+            records.readResults(job, results).getOrElse { return Err(it) }
+            remote.resultsAtNanos = timer.nanoTime()
+        }
+        return Ok(JobPage(stored.items.size, results.from(after).limited()))
+    }
+
+    private suspend fun item(job: String, customer: String, item: String): Result<ByteArray?, StoreError> {
+        val held = heldItem(job, customer, item)
+        if (held.isHeld) return Ok(held.body)
+        val remote = remote(job).getOrElse { return Err(it) } ?: return Ok(null)
+        val fromPeer = askHolder(job, remote) { it.readItem(job, customer, item) }
+        if (fromPeer != null && fromPeer.isHeld) return Ok(fromPeer.body)
+        remote.isHolderDoubtful = true
+        val stored = storedJob(job, remote).getOrElse { return Err(it) }
+        return Ok(if (stored?.customer == customer) stored.body(item) else null)
     }
 
     /** Whether what the store said at [readAtNanos] is too old for a caller that has seen more elsewhere. */
     private fun isDue(readAtNanos: Long) =
         readAtNanos == Long.MIN_VALUE || timer.nanoTime() - readAtNanos >= READ_AGAIN_NANOS
 
-    private suspend fun item(job: String, customer: String, item: String): Result<ByteArray?, StoreError> {
-        val held = heldItem(job, customer, item)
-        if (held.isHeld) return Ok(held.body)
-        val remote = remote(job).getOrElse { return Err(it) }
-        val body = if (remote?.job?.customer == customer) remote.job.body(item) else null
-        return Ok(body)
+    /** The job as the store has it; null if there is no such job. */
+    private suspend fun storedJob(id: String, remote: Remote?): Result<BatchJob?, StoreError> {
+        remote?.job?.let { return Ok(it) }
+        val job = records.job(id).getOrElse { return if (it is StoreError.NotFound) Ok(null) else Err(it) }
+        remote?.job = job
+        return Ok(job)
     }
 
-    /** The job as the store has it, with the node that runs it; null if there is no such job. */
+    /** Which node runs a job that this one does not run; null if there is no such job. */
     private suspend fun remote(id: String): Result<Remote?, StoreError> {
         val known = remotes[id]
         val isHolderFine = known != null && members.mayRun(known.holder) && !known.isHolderDoubtful
         if (known != null && (isHolderFine || !isDue(known.stateAtNanos))) return Ok(known)
-        val job = known?.job ?: records.job(id).getOrElse {
-            return if (it is StoreError.NotFound) Ok(null) else Err(it)
-        }
+        val job = storedJob(id, known).getOrElse { return Err(it) } ?: return Ok(null)
         var holder = job.holder
         if (known != null || !members.mayRun(holder)) {
             holder = records.state(id).getOrElse { return Err(it) }.holder ?: holder
         }
-        val remote = Remote(job, holder, known?.results ?: ResultLog(job.items.size))
+        val remote = Remote(holder)
+        remote.job = job
+        remote.results = known?.results
         remote.stateAtNanos = timer.nanoTime()
         remote.resultsAtNanos = known?.resultsAtNanos ?: Long.MIN_VALUE
         remotes[id] = remote
         return Ok(remote)
     }
 
-    private suspend fun <T> askHolder(remote: Remote, ask: suspend (FleetPeer) -> Result<T?, PeerError>): T? {
+    private suspend fun <T> askHolder(
+        job: String,
+        remote: Remote,
+        ask: suspend (FleetPeer) -> Result<T?, PeerError>,
+    ): T? {
         val node = node(remote.holder) ?: return null
         return ask(connector.connect(node.address)).fold(
             { it },
             {
-                log.record("holder_not_reached", "job" to remote.job.id, "vm" to node.vm, "reason" to it)
+                log.record("holder_not_reached", "job" to job, "vm" to node.vm, "reason" to it)
                 null
             },
         )
@@ -237,7 +273,7 @@
     private suspend fun tellHolder(job: String) {
         if (runner.end(job)) return
         val remote = remotes[job] ?: return
-        askHolder(remote) { it.endJob(job) }
+        askHolder(job, remote) { it.endJob(job) }
     }
 
     private fun node(holder: JobHolder): FleetNode? =
@@ -281,6 +317,9 @@
         /** Jobs of other nodes that are remembered with their bodies, of some 15 KB each. */
         const val MAX_REMOTES = 200
 
+        /** How long the other nodes are told of a new job: several exchanges. */
+        const val ACCEPTED_NANOS = 1_000_000_000L
+
         /** Callers rely on a result at all nodes one second after they have seen it at one. */
         const val READ_AGAIN_NANOS = 400_000_000L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -368,7 +368,7 @@
 
     private companion object {
         /** Results that arrive within this time share one write. */
-        const val GATHER_MILLIS = 300L
+        const val GATHER_MILLIS = 600L
 
         const val RETRY_MILLIS = 300L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
@@ -121,8 +121,8 @@
     private val self get() = JobHolder(members.self.vm.value, members.self.incarnation)
 
     private companion object {
-        /** Peers introduce themselves within two periods of exchange once the store or a seed has named them. */
-        const val FIRST_SWEEP_MILLIS = 3_000L
+        /** Peers introduce themselves within a few periods of exchange once the store or a seed has named them. */
+        const val FIRST_SWEEP_MILLIS = 1_500L
 
         const val RETRY_MILLIS = 1_000L
 
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -7,6 +7,7 @@
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.CustomerId
+import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.placement.Occupancy
@@ -19,9 +20,10 @@
 import ragwortbarrow.fleet.v1.Snapshot as WireSnapshot
 
 internal fun FleetNode.toWire(): WireNode =
-    WireNode.newBuilder().setVm(vm.value).setAddress(address).setIncarnation(incarnation).build()
+    WireNode.newBuilder().setVm(vm.value).setAddress(address).setIncarnation(incarnation)
+        .setFailureDomain(failureDomain.value).build()
 
-internal fun WireNode.toCore() = FleetNode(VmId(vm), address, incarnation)
+internal fun WireNode.toCore() = FleetNode(VmId(vm), address, incarnation, FailureDomainId(failureDomain))
 
 internal fun NodeState.toWire(): WireNodeState = WireNodeState.newBuilder()
     .setSender(sender.toWire())
@@ -41,6 +43,7 @@
     .addAllMembers(members.map { it.toWire() })
     .addAllEndedJobs(endedJobs)
     .addAllTakenJobs(takenJobs)
+    .addAllAcceptedJobs(acceptedJobs)
     .build()
 
 internal fun WireNodeState.toCore() = NodeState(
@@ -53,6 +56,7 @@
     members = membersList.map { it.toCore() },
     endedJobs = endedJobsList.toList(),
     takenJobs = takenJobsList.toList(),
+    acceptedJobs = acceptedJobsList.toList(),
 )
 
 internal fun Snapshot.toWire(): WireSnapshot =
