Count a chunk of results once when several readers read it at the same time

Readers of one job at one node share a result log; each added the chunk that it had read, so the number of the next chunk was skipped. A reader then stopped at the hole, and a node that ran the job stored behind it. A chunk is now added under its number, once; the new test in ResultLogTest fails without the guard. Ruled out: lost answers of writes, since a chunk is only ever created.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/JobRecords.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/JobRecords.kt
@@ -71,10 +71,11 @@
     /** Adds the chunks of a job that are stored and missing in [log]. */
     suspend fun readResults(id: String, log: ResultLog): Result<Unit, StoreError> {
         while (!log.isFull) {
-            val chunk = store.get(ObjectKind.ENTRY_RESULTS, chunkName(id, log.nextChunk)).getOrElse {
+            val number = log.nextChunk
+            val chunk = store.get(ObjectKind.ENTRY_RESULTS, chunkName(id, number)).getOrElse {
                 return if (it is StoreError.NotFound) Ok(Unit) else Err(it)
             }
-            log.add(storeJson.decodeFromJsonElement<ResultChunk>(chunk.spec))
+            log.add(number, storeJson.decodeFromJsonElement<ResultChunk>(chunk.spec))
         }
         return Ok(Unit)
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ResultLog.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ResultLog.kt
@@ -26,8 +26,12 @@
     fun next(results: List<ItemResult>): ResultChunk =
         ResultChunk(first = stored.size, results = results.filter { it.id !in ids })
 
-    /** Adds the chunk with the number [nextChunk]. Results that have a position already keep that position only. */
-    fun add(chunk: ResultChunk) {
+    /**
+     * Adds the stored chunk with this [number] unless it has been added before; several readers may have read it at the
+     * same time. Results that have a position already keep that position only.
+     */
+    fun add(number: Int, chunk: ResultChunk) {
+        if (number != nextChunk) return
         nextChunk++
         for (result in chunk.results) if (ids.add(result.id)) stored += result
     }
--- a/core/src/test/kotlin/ragwortbarrow/core/jobs/ResultLogTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/jobs/ResultLogTest.kt
@@ -1,11 +1,18 @@
 package ragwortbarrow.core.jobs
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
 import ragwortbarrow.core.store.MemoryObjectStore
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectStore
 import ragwortbarrow.core.store.SafeWriter
 import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.time.ManualTimerService
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -48,16 +55,40 @@
     @Test
     fun `an item that stands in two chunks keeps its first position`() {
         val log = ResultLog(2)
-        log.add(ResultChunk(0, listOf(result("a"))))
-        log.add(ResultChunk(1, listOf(result("a").copy(output = "other"), result("b"))))
+        log.add(0, ResultChunk(0, listOf(result("a"))))
+        log.add(1, ResultChunk(1, listOf(result("a").copy(output = "other"), result("b"))))
         expectThat(log.from(0).map { it.output }).containsExactly("text of a", "text of b")
         expectThat(log.isFull).isTrue()
     }
 
+    @Test
+    fun `readers that read at the same time leave no gap between chunks`() = runTest {
+        val slow = SlowReads(store)
+        val records = JobRecords(slow, SafeWriter(store, timer, "one"))
+        records.appendResults("job", 0, ResultChunk(0, listOf(result("a"))))
+        val log = ResultLog(3)
+        val first = launch { records.readResults("job", log) }
+        val second = launch { records.readResults("job", log) }
+        testScheduler.runCurrent()
+        slow.answer.complete(Unit)
+        joinAll(first, second)
+        expectThat(log.nextChunk).isEqualTo(1)
+        expectThat(log.from(0).map { it.id }).containsExactly("a")
+    }
+
+    private class SlowReads(private val store: ObjectStore) : ObjectStore by store {
+        val answer = CompletableDeferred<Unit>()
+
+        override suspend fun get(kind: ObjectKind, name: String): Result<StoredObject, StoreError> {
+            answer.await()
+            return store.get(kind, name)
+        }
+    }
+
     @Test
     fun `reading from a position behind the end gives nothing`() {
         val log = ResultLog(2)
-        log.add(ResultChunk(0, listOf(result("a"))))
+        log.add(0, ResultChunk(0, listOf(result("a"))))
         expectThat(log.from(1)).isEqualTo(emptyList())
         expectThat(log.from(9)).isEqualTo(emptyList())
         expectThat(log.isFull).isFalse()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -323,7 +323,7 @@
         val number = job.log.nextChunk
         parts.records.appendResults(id, number, chunk).fold(
             {
-                job.log.add(chunk)
+                job.log.add(number, chunk)
                 job.toStore.removeAll(batch.toSet())
                 job.wakeReaders()
                 log.record("results_stored", "job" to id, "chunk" to number, "results" to chunk.results.size)
