--- a/core/src/main/kotlin/ragwortbarrow/core/allowance/AllowanceLedger.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/allowance/AllowanceLedger.kt
@@ -28,7 +28,9 @@
  */
 class AllowanceLedger(private val timer: TimerService, private val windowMillis: Long) {
     private val own = HashMap<CustomerId, SlidingCount>()
-    private val peers = HashMap<VmId, Map<CustomerId, Int>>()
+    private class PeerReport(val admitted: Map<CustomerId, Int>, val atMillis: Long)
+
+    private val peers = HashMap<VmId, PeerReport>()
     private val sinceReport = HashMap<CustomerId, Int>()
 
     /** Decides on one request of [customer] and counts it if it is admitted. */
@@ -36,7 +38,7 @@
         if (customer.ratePerSecond <= 0) return AllowanceDecision(true, 0, Double.MAX_VALUE, 0)
         val count = own.getOrPut(customer.id) { SlidingCount(windowMillis) }
         val nowMillis = timer.monotonicMillis()
-        val used = count.sum(nowMillis) + peers.values.sumOf { it[customer.id] ?: 0 }
+        val used = count.sum(nowMillis) + usedByPeers(customer.id, nowMillis)
         val whole = customer.ratePerSecond * windowMillis / MILLIS_PER_SECOND + customer.burst
         val allowed = whole * (nodes - silentNodes) / nodes
         val spent = sinceReport[customer.id] ?: 0
@@ -64,13 +66,17 @@
 
     /** Takes over what [peer] admitted in the window. */
     fun peerReport(peer: VmId, admitted: Map<CustomerId, Int>) {
-        peers[peer] = admitted
+        peers[peer] = PeerReport(admitted, timer.monotonicMillis())
     }
 
     fun forgetPeer(peer: VmId) {
         peers.remove(peer)
     }
 
+    /** Requests that a silent node reported have left the window after its length; its share is set aside instead. */
+    private fun usedByPeers(customer: CustomerId, nowMillis: Long): Int =
+        peers.values.sumOf { if (nowMillis - it.atMillis < windowMillis) it.admitted[customer] ?: 0 else 0 }
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -10,7 +10,10 @@
  * What this node knows of the backend servers: the newest list, its own requests in flight, and what the other nodes
  * last said of theirs. Confined to one thread.
  */
-class ServerBoard(private val timer: TimerService, private val health: ServerHealth = ServerHealth(timer)) {
+class ServerBoard(
+    private val timer: TimerService,
+    private val health: ServerHealth = ServerHealth(timer, maxPauseMillis = MAX_PAUSE_MILLIS),
+) {
     private var servers = emptyMap<BackendServerId, BackendServer>()
     private var byService = emptyMap<String, List<BackendServer>>()
     private val own = HashMap<BackendServerId, Occupancy>()
@@ -134,6 +137,9 @@
     private companion object {
         val NONE = Occupancy()
 
+        /** A server that is back after a partition gets requests again within this time. */
+        const val MAX_PAUSE_MILLIS = 2_000L
+
         /** Longer than a request that is accepted queues at a server before its first byte. */
         const val SILENT_MILLIS = 500L
     }
--- a/core/src/test/kotlin/ragwortbarrow/core/allowance/AllowanceLedgerTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/allowance/AllowanceLedgerTest.kt
@@ -80,6 +80,15 @@
         expectThat(fleet.mostInWindow().toDouble()).isLessThanOrEqualTo(toleratedInWindow)
     }
 
+    @Test
+    fun `what a node reported before it fell silent leaves the window too`() {
+        val ledger = AllowanceLedger(timer, WINDOW_MILLIS)
+        ledger.peerReport(VmId("vm1"), mapOf(customer.id to 100))
+        expectThat(ledger.admit(customer, 2, 1).used).isEqualTo(100)
+        timer.advance(WINDOW_MILLIS)
+        expectThat(ledger.admit(customer, 2, 1).isAdmitted).isEqualTo(true)
+    }
+
     @Test
     fun `a customer without a limit is always admitted`() {
         val ledger = AllowanceLedger(timer, WINDOW_MILLIS)
