Run batch items by urgency and stop fewer of them

Items that can still be in time now go first and leave last, and a server gives a slot back only when more than one request queues there. Ruled out: too few slots.

--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -5,26 +5,6 @@
 import kotlin.math.ceil
 import kotlin.random.Random
 
-/** How much time is left for a batch item beyond what it needs to run, from none to plenty. */
-enum class Slack(
-    /** Share of a server's slots, online requests included, up to which such an item may fill it. */
-    val fillShare: Double,
-) {
-    PLENTY(0.5),
-    SOME(0.75),
-    NONE(0.9),
-    ;
-
-    companion object {
-        /** The slack of an item that is due in [leftMillis] and runs for [runMillis]. */
-        fun of(leftMillis: Long, runMillis: Double): Slack = when {
-            leftMillis > runMillis * 2 -> PLENTY
-            leftMillis > runMillis * 1.4 -> SOME
-            else -> NONE
-        }
-    }
-}
-
 /**
  * Chooses backend servers for batch items, and the items that have to leave.
  *
@@ -55,7 +35,8 @@
     fun excess(server: BackendServer): Int {
         val load = board.occupancy(server.id)
         val own = board.ownOccupancy(server.id).batch
-        val over = load.total - server.slots
+        // Loads of other nodes are some hundred milliseconds old, and one request more than slots waits only briefly.
+        val over = load.total - server.slots - QUEUE_TOLERANCE
         if (over <= 0 || own == 0) return 0
         return ceil(over.toDouble() * own / load.batch).toInt().coerceAtMost(own)
     }
@@ -64,6 +45,9 @@
         (server.slots * slack.fillShare).toInt().coerceIn(1, server.slots)
 
     private companion object {
+        /** Requests that may queue at a server before batch items have to leave it. */
+        const val QUEUE_TOLERANCE = 1
+
         /** In units of a full server: a remote server is chosen when it is this much emptier than a local one. */
         const val REMOTE_PENALTY = 0.25
 
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/Urgency.kt
@@ -0,0 +1,40 @@
+package ragwortbarrow.core.placement
+
+/** How much time is left for a batch item beyond what it needs to run, from none to plenty. */
+enum class Slack(
+    /** Share of a server's slots, online requests included, up to which such an item may fill it. */
+    val fillShare: Double,
+) {
+    PLENTY(0.5),
+    SOME(0.75),
+    NONE(0.9),
+}
+
+/**
+ * How urgent a batch item is. It is due in [dueMillis], which is negative afterwards, and needs [runMillis] more.
+ *
+ * Load pattern: more batch work than spare slots for a while. An item that is past its due time is worth little to its
+ * customer, so it goes behind those that can still be in time, and it is the first to leave for an online request. Among
+ * the others the one that is due first goes first and leaves last.
+ */
+data class Urgency(val dueMillis: Long, val runMillis: Double) {
+    /** Whether the item can still be done in time. */
+    val isInTime: Boolean get() = dueMillis >= runMillis
+
+    val slack: Slack
+        get() = when {
+            !isInTime -> Slack.PLENTY
+            dueMillis > runMillis * PLENTY_RUNS -> Slack.PLENTY
+            dueMillis > runMillis * SOME_RUNS -> Slack.SOME
+            else -> Slack.NONE
+        }
+
+    companion object {
+        /** Start the first of this order first, and stop the last of it first. */
+        val ORDER: Comparator<Urgency> = compareBy<Urgency> { !it.isInTime }.thenBy { it.dueMillis }
+
+        /** Run times that are left until the due time at the bounds of [Slack.PLENTY] and [Slack.SOME]. */
+        private const val PLENTY_RUNS = 2.4
+        private const val SOME_RUNS = 1.6
+    }
+}
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -17,7 +17,7 @@
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.BatchPlacement
 import ragwortbarrow.core.placement.ServerBoard
-import ragwortbarrow.core.placement.Slack
+import ragwortbarrow.core.placement.Urgency
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
@@ -26,8 +26,8 @@
 import ragwortbarrow.http.HttpFailure
 
 /**
- * Runs the batch jobs that this node holds: starts items in spare slots, oldest job first, stores results in the order
- * in which they arrive, and stops items when online requests need their slots.
+ * Runs the batch jobs that this node holds: starts items in spare slots, the most urgent first, stores results in the
+ * order in which they arrive, and stops items when online requests need their slots.
  */
 class JobRunner(
     private val parts: Parts,
@@ -140,9 +140,14 @@
         for (job in held.values) job.running.values.forEach { it.job?.cancel() }
     }
 
+    /** The least urgent items leave first, of the same job the youngest. */
     private fun stopItems(server: BackendServer, count: Int) {
-        val here = held.values.flatMap { job -> job.running.values.filter { it.server.id == server.id } }
-        for (running in here.sortedByDescending { it.startedNanos }.take(count)) {
+        val here = held.values.flatMap { job ->
+            job.running.values.filter { it.server.id == server.id }.map { it to urgency(job) }
+        }
+        val order = compareBy(Urgency.ORDER) { item: Pair<RunningItem, Urgency> -> item.second }
+            .thenBy { it.first.startedNanos }
+        for ((running, _) in here.sortedWith(order.reversed()).take(count)) {
             running.job?.cancel()
             metrics.count("batch_items_stopped")
         }
@@ -150,26 +155,28 @@
 
     private fun schedule() {
         if (isStopping) return
-        for (job in held.values) {
-            if (job.isEnded || job.waiting.isEmpty()) continue
+        val waiting = held.values.filter { !it.isEnded && it.waiting.isNotEmpty() }
+        if (waiting.isEmpty()) return
+        for ((job, urgency) in waiting.map { it to urgency(it) }.sortedWith(compareBy(Urgency.ORDER) { it.second })) {
             val route = route(job.job)
-            if (route == null) {
-                giveUp(job, "its route is gone")
-                continue
-            }
-            while (startsLeft > 0 && job.waiting.isNotEmpty()) {
-                val service = route.service(kotlin.random.Random.nextDouble())
-                val server = parts.placement.place(service, slack(job.job, route)) ?: break
-                if (!parts.board.tryUse(server.id)) break
-                start(job, job.waiting.removeFirst(), route, server)
-                startsLeft--
-            }
+            if (route == null) giveUp(job, "its route is gone") else startItems(job, route, urgency)
+        }
+    }
+
+    private fun startItems(job: HeldJob, route: Route, urgency: Urgency) {
+        while (startsLeft > 0 && job.waiting.isNotEmpty()) {
+            val service = route.service(kotlin.random.Random.nextDouble())
+            val server = parts.placement.place(service, urgency.slack) ?: return
+            if (!parts.board.tryUse(server.id)) return
+            start(job, job.waiting.removeFirst(), route, server)
+            startsLeft--
         }
     }
 
-    private fun slack(job: BatchJob, route: Route): Slack {
-        val targetMillis = if (route.completionTargetMillis > 0) route.completionTargetMillis else route.maxWaitMillis
-        return Slack.of(job.submittedWallMillis + targetMillis - timer.wallMillis(), runMillis)
+    private fun urgency(job: HeldJob): Urgency {
+        val route = route(job.job)
+        val targetMillis = route?.completionTargetMillis?.takeIf { it > 0 } ?: route?.maxWaitMillis ?: 0
+        return Urgency(job.job.submittedWallMillis + targetMillis - timer.wallMillis(), runMillis)
     }
 
     private fun spareSlots() = parts.board.all().sumOf {
