--- a/core/src/main/kotlin/ragwortbarrow/core/placement/Urgency.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/Urgency.kt
@@ -14,8 +14,8 @@
  * How urgent a batch item is. It is due in [dueMillis], which is negative afterwards, and needs [runMillis] more.
  *
  * Load pattern: more batch work than spare slots for a while. An item that is past its due time is worth little to its
- * customer, so it goes behind those that can still be in time, and it is the first to leave for an online request. Among
- * the others the one that is due first goes first and leaves last.
+ * customer, so it goes behind those that can still be in time, and it is the first to leave for an online request.
+ * Among the others the one that is due first goes first and leaves last.
  */
 data class Urgency(val dueMillis: Long, val runMillis: Double) {
     /** Whether the item can still be done in time. */
--- a/node/src/main/kotlin/ragwortbarrow/node/Main.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Main.kt
@@ -2,11 +2,11 @@
 
 import kotlinx.coroutines.runBlocking
 import org.apache.logging.log4j.LogManager
-import ragwortbarrow.telemetry.KeyValueLog
-import ragwortbarrow.telemetry.setLogLevel
 import ragwortbarrow.node.settings.NodeCommand
 import ragwortbarrow.node.settings.Settings
 import ragwortbarrow.node.settings.outcome
+import ragwortbarrow.telemetry.KeyValueLog
+import ragwortbarrow.telemetry.setLogLevel
 import kotlin.system.exitProcess
 
 /** Starts a node; faults in the settings end the process with exit code 2, a taken address with 1. */
--- a/node/src/main/kotlin/ragwortbarrow/node/Node.kt
+++ b/node/src/main/kotlin/ragwortbarrow/node/Node.kt
@@ -29,14 +29,14 @@
 import ragwortbarrow.node.drain.Drain
 import ragwortbarrow.node.http.CallerParts
 import ragwortbarrow.node.http.HttpServer
-import ragwortbarrow.telemetry.KeyValueLog
 import ragwortbarrow.node.metrics.NodeGauges
 import ragwortbarrow.node.metrics.NodeMetrics
 import ragwortbarrow.node.settings.Settings
-import ragwortbarrow.peer.GrpcPeerConnector
-import ragwortbarrow.peer.GrpcPeerServer
 import ragwortbarrow.objectapi.HttpObjectStore
 import ragwortbarrow.objectapi.SystemTimerService
+import ragwortbarrow.peer.GrpcPeerConnector
+import ragwortbarrow.peer.GrpcPeerServer
+import ragwortbarrow.telemetry.KeyValueLog
 
 /**
  * One node: the parts of the core joined with their adapters.
