--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
@@ -203,6 +203,16 @@
             if (fromPeer != null) return Ok(fromPeer)
             remote.isHolderDoubtful = true
         }
+        return storedPage(job, remote, customer, after)
+    }
+
+    /** Results as the store has them, when the node that runs the job does not answer. */
+    private suspend fun storedPage(
+        job: String,
+        remote: Remote,
+        customer: String,
+        after: Int,
+    ): Result<JobPage?, StoreError> {
         val stored = storedJob(job, remote).getOrElse { return Err(it) }
         if (stored == null || stored.customer != customer) return Ok(null)
         val results = remote.results ?: ResultLog(stored.items.size).also { remote.results = it }
