--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/BatchJob.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/BatchJob.kt
@@ -28,7 +28,10 @@
 @Serializable
 data class JobHolder(val vm: String, val incarnation: Long)
 
-/** What changes about a job: who took it over, whether it was cancelled, whether every item has its result. */
+/**
+ * What changes about a job: who took it over and whether it was cancelled. [isFinished] is set by a node that takes the
+ * job over and finds that every item has its result.
+ */
 @Serializable
 data class JobState(val holder: JobHolder? = null, val isEnded: Boolean = false, val isFinished: Boolean = false)
 
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -24,7 +24,6 @@
     val targetLeftMillis: Double,
     /** What is left until the caller gives up. */
     val deadlineLeftMillis: Long,
-    val priority: Int = 0,
     val except: Set<BackendServerId> = emptySet(),
 )
 
--- a/core/src/main/kotlin/ragwortbarrow/core/traffic/Route.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/traffic/Route.kt
@@ -67,9 +67,6 @@
     val priority: Int? = null,
 )
 
-/** What the configuration says of a service. */
-data class ServiceSpec(val name: String, val maxConnections: Int, val healthPath: String, val isEngine: Boolean)
-
 /** What a caller may send, and how long its connection may stay idle. */
 data class CallerLimits(
     val maxHeaderBytes: Int,
--- a/core/src/main/kotlin/ragwortbarrow/core/traffic/RoutingTable.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/traffic/RoutingTable.kt
@@ -4,7 +4,6 @@
 class RoutingTable(
     val version: Long,
     val routes: List<Route>,
-    val services: Map<String, ServiceSpec>,
     val customers: List<CustomerAccount>,
     val limits: CallerLimits,
 ) {
--- a/core/src/test/kotlin/ragwortbarrow/core/traffic/RoutingTableTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/traffic/RoutingTableTest.kt
@@ -19,7 +19,6 @@
     private val table = RoutingTable(
         version = 7,
         routes = listOf(route("short", "h", "/p/"), route("long", "h", "/p/q/"), route("other", "i", "/p/")),
-        services = emptyMap(),
         customers = emptyList(),
         limits = CallerLimits(1, 1, 1, 1),
     )
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -21,6 +21,7 @@
 import ragwortbarrow.http.HttpFailure
 import ragwortbarrow.http.HttpReply
 import ragwortbarrow.http.HttpRequestMessage
+import kotlin.random.Random
 
 /** One admitted request of a caller on its way to a backend server. */
 class OnlineRequest(
@@ -32,8 +33,6 @@
 ) {
     /** How long the caller may be kept waiting in all. */
     val limitMillis: Long = minOf(head.deadlineMillis ?: Long.MAX_VALUE, route.timeoutMillis)
-
-    val priority: Int get() = customer?.priority ?: route.priority
 }
 
 /** How a request ended, for the log. */
@@ -80,7 +79,7 @@
 
     private inner class Progress(private val request: OnlineRequest, private val reply: HttpReply) {
         private val route = request.route
-        private val service = route.service(kotlin.random.Random.nextDouble())
+        private val service = route.service(Random.nextDouble())
         private val excluded = HashSet<BackendServerId>()
         private var lastEventId = request.head.lastEventId
         private var sends = 0
@@ -123,7 +122,6 @@
                     service = service,
                     targetLeftMillis = (route.targetLatencyMillis - elapsedMillis).toDouble(),
                     deadlineLeftMillis = request.limitMillis - elapsedMillis,
-                    priority = request.priority,
                     except = excluded,
                 ),
             )
--- a/entry/src/main/kotlin/ragwortbarrow/entry/HeldJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/HeldJob.kt
@@ -6,6 +6,7 @@
 import ragwortbarrow.core.jobs.ItemProgress
 import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.jobs.ResultLog
+import ragwortbarrow.core.placement.BackendServer
 
 /** A batch job that this node runs: its items without a result, those that run, and the results to be stored. */
 internal class HeldJob(
@@ -38,6 +39,6 @@
 }
 
 /** Where an item runs, and the coroutine that reads its output. */
-internal class RunningItem(val server: ragwortbarrow.core.placement.BackendServer, val startedNanos: Long) {
+internal class RunningItem(val server: BackendServer, val startedNanos: Long) {
     var job: Job? = null
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -24,6 +24,7 @@
 import ragwortbarrow.core.time.pause
 import ragwortbarrow.core.traffic.Route
 import ragwortbarrow.http.HttpFailure
+import kotlin.random.Random
 
 /**
  * Runs the batch jobs that this node holds: starts items in spare slots, the most urgent first, stores results in the
@@ -165,7 +166,7 @@
 
     private fun startItems(job: HeldJob, route: Route, urgency: Urgency) {
         while (startsLeft > 0 && job.waiting.isNotEmpty()) {
-            val service = route.service(kotlin.random.Random.nextDouble())
+            val service = route.service(Random.nextDouble())
             val server = parts.placement.place(service, urgency.slack) ?: return
             if (!parts.board.tryUse(server.id)) return
             start(job, job.waiting.removeFirst(), route, server)
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -25,9 +25,8 @@
     private var keepAliveSeconds: Long? = null
     private var closeAfterAnswer = false
     private var written = false
-    private var isFresh = true
 
-    /** Monotonic time until which the server said it keeps the connection; set when the connection becomes idle. */
+    /** Monotonic time at which the connection became idle. */
     internal var idleSinceNanos = 0L
 
     /** How long the server keeps the connection when idle, in milliseconds. */
@@ -56,7 +55,6 @@
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
         channel.writeAndFlush(message).addListener { if (it.isSuccess) written = true }
-        isFresh = false
         return sent
     }
 
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
+import java.net.InetSocketAddress
 
 /** Answers one request through its [HttpReply]; it is cancelled when the caller closes the connection. */
 typealias HttpHandler = suspend (HttpRequestMessage, HttpReply) -> Unit
@@ -54,7 +55,7 @@
     }
 
     /** The bound port. */
-    val port: Int get() = (listener?.localAddress() as java.net.InetSocketAddress).port
+    val port: Int get() = (listener?.localAddress() as InetSocketAddress).port
 
     /** Tells callers with each answer to close; connections without a request are closed by [closeIdle]. */
     fun startClosing() {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -40,7 +42,7 @@
     private var reading: HttpRequest? = null
     private var body = ByteArrayOutputStream()
     private var running: Job? = null
-    private val waiting = ArrayDeque<HttpRequestMessage>()
+    private val waiting = ArrayDeque<Waiting>()
     private var timeout: Future<*>? = null
 
     /** Whether no request is being read, run or waiting. */
@@ -98,19 +100,21 @@
     private fun whole(head: HttpRequest) {
         reading = null
         timeout?.cancel(false)
-        waiting += HttpRequestMessage(head.method().name(), head.uri(), head.headers(), body.toByteArray())
+        val message = HttpRequestMessage(head.method().name(), head.uri(), head.headers(), body.toByteArray())
+        waiting += Waiting(message, HttpUtil.isKeepAlive(head))
         body = ByteArrayOutputStream()
         if (waiting.size > MAX_PIPELINED) channel.close() else runNext()
     }
 
     private fun runNext() {
         if (running != null) return
-        val request = waiting.removeFirstOrNull()
-        if (request == null) {
+        val next = waiting.removeFirstOrNull()
+        if (next == null) {
             if (channel.isActive) closeAfter(limits.idleTimeoutMillis)
             return
         }
-        val reply = Reply(HttpUtil.isKeepAlive(requestHead(request)))
+        val request = next.message
+        val reply = Reply(next.keepAlive)
         val job = scope.launch {
             try {
                 handler(request, reply)
@@ -130,13 +134,6 @@
         }
     }
 
-    private fun requestHead(request: HttpRequestMessage) = io.netty.handler.codec.http.DefaultHttpRequest(
-        HttpVersion.HTTP_1_1,
-        io.netty.handler.codec.http.HttpMethod.valueOf(request.method),
-        request.path,
-        request.headers,
-    )
-
     private fun closeAfter(millis: Long) {
         timeout?.cancel(false)
         timeout = channel.eventLoop().schedule({ if (running == null) channel.close() }, millis, TimeUnit.MILLISECONDS)
@@ -149,6 +146,8 @@
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
+    private class Waiting(val message: HttpRequestMessage, val keepAlive: Boolean)
+
     private inner class Reply(private val keepAlive: Boolean) : HttpReply {
         override var isStarted = false
             private set
@@ -190,12 +189,12 @@
             channel.close()
         }
 
-        private fun <T : io.netty.handler.codec.http.HttpResponse> markClose(response: T): T = response.also {
+        private fun <T : HttpResponse> markClose(response: T): T = response.also {
             closes = !keepAlive || isClosing()
             if (closes) it.headers().set(HttpHeaderNames.CONNECTION, "close")
         }
 
-        private fun finish(written: io.netty.channel.ChannelFuture) {
+        private fun finish(written: ChannelFuture) {
             if (closes) written.addListener(ChannelFutureListener.CLOSE)
         }
     }
