Count silence only within answers; give slots back as before

A server counted as silent while requests of this node only queued there, which left 8 to 9 of 13 servers to choose from in a jump of the load; only an answer that has begun and stops says that a server is stuck (ServerBoardTest).

--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -35,8 +35,7 @@
     fun excess(server: BackendServer): Int {
         val load = board.occupancy(server.id)
         val own = board.ownOccupancy(server.id).batch
-        // Loads of other nodes are some hundred milliseconds old, and one request more than slots waits only briefly.
-        val over = load.total - server.slots - QUEUE_TOLERANCE
+        val over = load.total - server.slots
         if (over <= 0 || own == 0) return 0
         return ceil(over.toDouble() * own / load.batch).toInt().coerceAtMost(own)
     }
@@ -45,9 +44,6 @@
         (server.slots * slack.fillShare).toInt().coerceIn(1, server.slots)
 
     private companion object {
-        /** Requests that may queue at a server before batch items have to leave it. */
-        const val QUEUE_TOLERANCE = 1
-
         /** In units of a full server: a remote server is chosen when it is this much emptier than a local one. */
         const val REMOTE_PENALTY = 0.25
 
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -20,6 +20,7 @@
     private val onlineStarts = HashMap<BackendServerId, ArrayList<Long>>()
     private val peers = HashMap<VmId, Map<BackendServerId, Occupancy>>()
     private var peerTotals = emptyMap<BackendServerId, Occupancy>()
+    private val answering = HashMap<BackendServerId, Int>()
     private val heardMillis = HashMap<BackendServerId, Long>()
     private val blockedUntilMillis = HashMap<BackendServerId, Long>()
 
@@ -41,12 +42,23 @@
         heardMillis[server] = timer.monotonicMillis()
     }
 
+    /** An answer from [server] has begun; [answerEnded] follows when it is complete or given up. */
+    fun answerBegan(server: BackendServerId) {
+        heard(server)
+        answering.merge(server, 1, Int::plus)
+    }
+
+    fun answerEnded(server: BackendServerId) {
+        answering.computeIfPresent(server) { _, count -> (count - 1).takeIf { it > 0 } }
+    }
+
     /**
-     * Whether [server] has sent nothing for [SILENT_MILLIS] although requests of this node are there. Engines send an
-     * event every few tens of milliseconds, so one of them that is silent with requests to run is stuck or cut off.
+     * Whether [server] has sent nothing for [SILENT_MILLIS] although it has begun to answer requests of this node.
+     * Engines send an event every few tens of milliseconds, so one that falls silent is stuck or cut off. Requests
+     * whose answers have not begun say nothing: they may queue behind those of other nodes.
      */
     fun isSilent(server: BackendServerId): Boolean =
-        ownOccupancy(server).total > 0 && timer.monotonicMillis() - (heardMillis[server] ?: 0) > SILENT_MILLIS
+        server in answering && timer.monotonicMillis() - (heardMillis[server] ?: 0) > SILENT_MILLIS
 
     /** Servers of [service] that may get a new request, apart from [except]. */
     fun eligible(service: String, except: Set<BackendServerId> = emptySet()): List<BackendServer> {
@@ -125,7 +137,6 @@
 
     private fun count(server: BackendServerId, isBatch: Boolean, change: Int) {
         val before = own[server] ?: NONE
-        if (before.total == 0) heard(server)
         val after = if (isBatch) {
             before.copy(batch = before.batch + change)
         } else {
@@ -140,7 +151,7 @@
         /** A server that is back after a partition gets requests again within this time. */
         const val MAX_PAUSE_MILLIS = 2_000L
 
-        /** Longer than a request that is accepted queues at a server before its first byte. */
+        /** Many times the pause between two events of an engine that runs all its slots. */
         const val SILENT_MILLIS = 500L
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/Urgency.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/Urgency.kt
@@ -5,9 +5,9 @@
     /** Share of a server's slots, online requests included, up to which such an item may fill it. */
     val fillShare: Double,
 ) {
-    PLENTY(0.65),
-    SOME(0.8),
-    NONE(0.95),
+    PLENTY(0.5),
+    SOME(0.75),
+    NONE(0.9),
 }
 
 /**
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/ServerBoardTest.kt
@@ -0,0 +1,60 @@
+package ragwortbarrow.core.placement
+
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.time.ManualTimerService
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class ServerBoardTest {
+    private val timer = ManualTimerService()
+    private val id = BackendServerId("a")
+    private val board = ServerBoard(timer).apply {
+        replace(listOf(BackendServer(id, "engines", "10.0.0.1:80", FailureDomainId("dalton"), slots = 8)))
+    }
+
+    @Test
+    fun `a server that falls silent within an answer gets nothing new until it is heard again`() {
+        board.began(id, isBatch = false)
+        board.answerBegan(id)
+        timer.advance(600)
+        expectThat(board.isSilent(id)).isTrue()
+        expectThat(board.eligible("engines")).hasSize(0)
+        board.heard(id)
+        expectThat(board.eligible("engines")).hasSize(1)
+    }
+
+    /** In a jump of the load a server with full slots lets requests queue; it is not stuck. */
+    @Test
+    fun `a server where requests only queue does not count as silent`() {
+        board.began(id, isBatch = true)
+        timer.advance(5_000)
+        expectThat(board.isSilent(id)).isFalse()
+        expectThat(board.eligible("engines")).hasSize(1)
+    }
+
+    @Test
+    fun `a server whose answers have ended is not waited for`() {
+        board.answerBegan(id)
+        board.answerEnded(id)
+        timer.advance(5_000)
+        expectThat(board.isSilent(id)).isFalse()
+    }
+
+    @Test
+    fun `the node with most batch items at a server is the one to ask for a slot`() {
+        board.peerLoads(VmId("b"), mapOf(id to Occupancy(online = 5, batch = 1)))
+        board.peerLoads(VmId("c"), mapOf(id to Occupancy(batch = 3)))
+        expectThat(board.busiestBatchPeer(id)).isEqualTo(VmId("c"))
+        board.forgetPeer(VmId("c"))
+        board.forgetPeer(VmId("b"))
+        expectThat(board.busiestBatchPeer(id)).isNull()
+        expectThat(board.occupancy(id).total).isEqualTo(0)
+    }
+}
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
@@ -44,7 +44,12 @@
             val answer = connection.send(request, { board.heard(server.id) }) { protocol.belongs(it, requestId) }
             val response = withTimeoutOrNull(headLimitMillis) { answer.head() }
                 ?: throw HttpFailure.Broken("no answer within $headLimitMillis ms")
-            val result = read(EngineAnswer(protocol.answerHead(response), response, answer))
+            board.answerBegan(server.id)
+            val result = try {
+                read(EngineAnswer(protocol.answerHead(response), response, answer))
+            } finally {
+                board.answerEnded(server.id)
+            }
             pool.release(connection)
             connection = null
             return result
