Take the ports of tests from below the range of outgoing connections

The test had asked the system for a free port and closed it, and an outgoing connection of another process took it before the node bound it.

--- a/node/src/test/kotlin/ragwortbarrow/node/GracefulStopTest.kt
+++ b/node/src/test/kotlin/ragwortbarrow/node/GracefulStopTest.kt
@@ -22,6 +22,7 @@
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.SafeWriter
 import ragwortbarrow.objectapi.SystemTimerService
+import ragwortbarrow.standins.LoopbackPorts
 import ragwortbarrow.standins.engine.EngineServer
 import ragwortbarrow.standins.engine.EngineSettings
 import ragwortbarrow.standins.platform.PlatformServer
@@ -29,8 +30,6 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -141,6 +140,6 @@
         /** What the JVM exits with after its shutdown hooks have run for SIGTERM. */
         const val SIGTERM_EXIT = 143
 
-        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        fun freePort(): Int = LoopbackPorts.free()
     }
 }
--- a/scenarios/src/test/kotlin/ragwortbarrow/scenarios/ServerProcess.kt
+++ b/scenarios/src/test/kotlin/ragwortbarrow/scenarios/ServerProcess.kt
@@ -1,8 +1,7 @@
 package ragwortbarrow.scenarios
 
+import ragwortbarrow.standins.LoopbackPorts
 import java.io.File
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 
@@ -58,7 +57,7 @@
         fun command(mainClass: String, arguments: List<String>): ProcessBuilder =
             ProcessBuilder(listOf(javaBinary) + jvmFlags + listOf("-cp", classPath, mainClass) + arguments)
 
-        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        fun freePort(): Int = LoopbackPorts.free()
 
         fun tail(file: File, lines: Int = 20): String =
             if (file.exists()) file.readLines().takeLast(lines).joinToString("\n") else "(no log)"
