--- a/standins/src/main/kotlin/ragwortbarrow/standins/LoopbackPorts.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/LoopbackPorts.kt
@@ -12,8 +12,8 @@
     private const val ATTEMPTS = 200
 
     /**
-     * A port that is free now. A port of the system's own choice could be taken by an outgoing connection of any process
-     * before the test's process binds it.
+     * A port that is free now. A port of the system's own choice could be taken by an outgoing connection of any
+     * process before the test's process binds it.
      */
     fun free(): Int = generateSequence { RANGE.random(Random.Default) }.take(ATTEMPTS).first(::isFree)
 
