Wait for an owner of an account that answers late

A node asked each known owner once, for 200 ms each, and refused the request when none had answered. Ruled out: rates (3001 would show), a lost owner (all three nodes were up). Change: the owners are asked again every 50 ms until 2 s have passed. The test that reaches no owner now waits for that bound. Before: the new test is refused with 3002. After: it is admitted.

--- a/core/src/main/kotlin/ragwortbarrow/core/limits/FleetLimiter.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/FleetLimiter.kt
@@ -12,6 +12,7 @@
 import ragwortbarrow.core.peer.LimitShardId
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.pause
 import java.util.concurrent.ConcurrentHashMap
 
 /**
@@ -47,27 +48,42 @@
         return admitFrom(customer, listOfNotNull(ownShard) + others)
     }
 
+    /**
+     * Asks the owners until one answers or [LimitSettings.admissionWaitMillis] is over. While a shard is handed over,
+     * or while the owner's process warms up, no owner answers for a moment; the request has not run and can wait.
+     */
     private suspend fun admitFrom(customer: CustomerId, shards: List<LimitShardId>): Result<Unit, ServingError> {
+        val startNanos = timer.nanoTime()
+        val waitNanos = settings.admissionWaitMillis * NANOS_PER_MILLI
+        while (true) {
+            when (val outcome = askOwners(customer, shards)) {
+                is LaneOutcome.Token -> return Ok(Unit)
+                is LaneOutcome.Refused -> return Err(refuse(customer, outcome.retryAfterMillis))
+                LaneOutcome.Unreachable -> Unit
+            }
+            if (timer.nanoTime() - startNanos >= waitNanos) return Err(unreachable(customer))
+            timer.pause(settings.admissionRetryMillis)
+        }
+    }
+
+    private suspend fun askOwners(customer: CustomerId, shards: List<LimitShardId>): LaneOutcome {
         val (reachable, paused) = shards.partition(directory::isReachable)
         // An owner that did not answer lately is asked again when nobody else is left, since a call may fail once
         // without its owner being lost.
         for (shard in reachable + paused) {
             directory.endPause(shard)
-            when (val outcome = acquireValid(shard, customer)) {
-                is LaneOutcome.Token -> return Ok(Unit)
-                is LaneOutcome.Refused -> return Err(refuse(customer, outcome.retryAfterMillis))
-                LaneOutcome.Unreachable -> Unit
-            }
+            val outcome = acquireValid(shard, customer)
+            if (outcome != LaneOutcome.Unreachable) return outcome
         }
-        return Err(
-            ServingError.Limited(
-                ResultCode.LIMITS_UNAVAILABLE,
-                "no account of customer $customer can be reached",
-                settings.unreachablePauseMillis,
-            ),
-        )
+        return LaneOutcome.Unreachable
     }
 
+    private fun unreachable(customer: CustomerId) = ServingError.Limited(
+        ResultCode.LIMITS_UNAVAILABLE,
+        "no account of customer $customer can be reached",
+        settings.unreachablePauseMillis,
+    )
+
     /** Acquires and spends a token, asking once more when the grant arrived after its validity. */
     private suspend fun acquireValid(shard: LimitShardId, customer: CustomerId): LaneOutcome {
         repeat(MAX_ATTEMPTS) {
--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitSettings.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitSettings.kt
@@ -20,6 +20,13 @@
     val callDeadlineMillis: Long = 200,
     /** An owner that did not answer is not asked again for this long. */
     val unreachablePauseMillis: Long = 1_000,
+    /**
+     * How long a request waits for an owner to answer before it is refused; a restarted owner's shard is handed over,
+     * and a starting process warms up, well within it.
+     */
+    val admissionWaitMillis: Long = 2_000,
+    /** Pause before a request asks the owners again. */
+    val admissionRetryMillis: Long = 50,
     /** Settlements wait this long for the next acquire to the same owner before they are sent on their own. */
     val settleDelayMillis: Long = 10,
     val storeDeadlineMillis: Long = 1_500,
