--- a/core/src/main/kotlin/ragwortbarrow/core/allowance/AllowanceLedger.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/allowance/AllowanceLedger.kt
@@ -2,9 +2,11 @@
 
 import ragwortbarrow.core.ids.CustomerId
 import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.time.SlidingCount
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.time.monotonicMillis
 import ragwortbarrow.core.traffic.CustomerAccount
+import kotlin.random.Random
 
 /** How a request stands against its customer's rate. */
 data class AllowanceDecision(
@@ -20,53 +22,68 @@
  * Keeps each customer within its rate over all nodes without asking any of them for a request.
  *
  * Each node counts what it admitted in the window and tells the others a few times a second. A request is admitted
- * while the sum stays below rate × window + burst. Between two reports a node admits at most its share of what is
- * left, so that all nodes together cannot pass the limit on old reports. A node that is not heard of may be alive
- * behind a partition: its equal share of the whole is set aside, and it does the same for us.
+ * while the sum stays below rate × window + burst. All nodes decide on reports that are some hundred milliseconds old,
+ * so each admits only the share of its requests that fits into what is left, by what all nodes together are offered
+ * while a report is on its way. Equal shares for each node were dropped: with 74 nodes a share is less than a request.
+ * A node that is not heard of may be alive behind a partition: its equal share of the whole is set aside, and it does
+ * the same for us.
  *
  * Load pattern: one customer sends many times its rate, over all nodes at once, also while a failure domain is cut off.
  */
-class AllowanceLedger(private val timer: TimerService, private val windowMillis: Long) {
-    private val own = HashMap<CustomerId, SlidingCount>()
-    private class PeerReport(val admitted: Map<CustomerId, Int>, val atMillis: Long)
+class AllowanceLedger(
+    private val timer: TimerService,
+    private val windowMillis: Long,
+    private val random: Random = Random.Default,
+) {
+    private class OwnUse(windowMillis: Long) {
+        val admitted = SlidingCount(windowMillis)
+        val offered = SlidingCount(OFFERED_MILLIS)
+    }
+
+    private class PeerReport(val uses: Map<CustomerId, CustomerUse>, val atMillis: Long)
 
+    private val own = HashMap<CustomerId, OwnUse>()
     private val peers = HashMap<VmId, PeerReport>()
-    private val sinceReport = HashMap<CustomerId, Int>()
 
     /** Decides on one request of [customer] and counts it if it is admitted. */
     fun admit(customer: CustomerAccount, nodes: Int, silentNodes: Int): AllowanceDecision {
         if (customer.ratePerSecond <= 0) return AllowanceDecision(true, 0, Double.MAX_VALUE, 0)
-        val count = own.getOrPut(customer.id) { SlidingCount(windowMillis) }
+        val use = own.getOrPut(customer.id) { OwnUse(windowMillis) }
         val nowMillis = timer.monotonicMillis()
-        val used = count.sum(nowMillis) + usedByPeers(customer.id, nowMillis)
+        use.offered.add(nowMillis)
+        val byPeers = usedByPeers(customer.id, nowMillis)
+        val used = use.admitted.sum(nowMillis) + byPeers.admitted
         val whole = customer.ratePerSecond * windowMillis / MILLIS_PER_SECOND + customer.burst
         val allowed = whole * (nodes - silentNodes) / nodes
-        val spent = sinceReport[customer.id] ?: 0
-        val heard = (nodes - silentNodes).coerceAtLeast(1)
-        val perReport = if (heard == 1) Double.MAX_VALUE else (allowed - used + spent) / heard
-        val isAdmitted = used < allowed && (spent < 1 || spent < perReport)
-        if (isAdmitted) {
-            count.add(nowMillis)
-            sinceReport[customer.id] = spent + 1
-        }
+        val left = allowed - used
+        val isAdmitted = left > 0 && random.nextDouble() * expected(use, byPeers, nowMillis) < left
+        if (isAdmitted) use.admitted.add(nowMillis)
         return AllowanceDecision(isAdmitted, used, allowed, silentNodes)
     }
 
+    /**
+     * Requests that all nodes are offered before each of them knows of this one. A node without peers misses none.
+     */
+    private fun expected(use: OwnUse, byPeers: CustomerUse, nowMillis: Long): Double {
+        if (byPeers.offered == 0) return 0.0
+        return (byPeers.offered + use.offered.sum(nowMillis)).toDouble() * REPORT_LAG_MILLIS / OFFERED_MILLIS
+    }
+
     /** Takes back a request that was admitted and then was not sent to any backend server. */
     fun takeBack(customer: CustomerId) {
-        own[customer]?.remove()
+        own[customer]?.admitted?.remove()
     }
 
-    /** What this node admitted in the window, for the others; starts a new share for each customer. */
-    fun report(): Map<CustomerId, Int> {
+    /** What this node was offered and admitted, for the others. */
+    fun report(): Map<CustomerId, CustomerUse> {
         val nowMillis = timer.monotonicMillis()
-        sinceReport.clear()
-        return own.mapValues { (_, count) -> count.sum(nowMillis) }.filterValues { it > 0 }
+        return own.mapValues { (_, use) -> CustomerUse(use.admitted.sum(nowMillis), use.offered.sum(nowMillis)) }
+            .filterValues { it.admitted > 0 || it.offered > 0 }
     }
 
-    /** Takes over what [peer] admitted in the window. */
-    fun peerReport(peer: VmId, admitted: Map<CustomerId, Int>) {
-        peers[peer] = PeerReport(admitted, timer.monotonicMillis())
+    /** Takes over what [peer], and the nodes behind it, were offered and admitted. */
+    fun peerReport(peer: VmId, uses: Map<CustomerId, CustomerUse>) {
+        peers[peer] = PeerReport(uses, timer.monotonicMillis())
     }
 
     fun forgetPeer(peer: VmId) {
@@ -74,10 +91,24 @@
     }
 
     /** Requests that a silent node reported have left the window after its length; its share is set aside instead. */
-    private fun usedByPeers(customer: CustomerId, nowMillis: Long): Int =
-        peers.values.sumOf { if (nowMillis - it.atMillis < windowMillis) it.admitted[customer] ?: 0 else 0 }
+    private fun usedByPeers(customer: CustomerId, nowMillis: Long): CustomerUse {
+        var sum = CustomerUse()
+        for (report in peers.values) {
+            if (nowMillis - report.atMillis < windowMillis) report.uses[customer]?.let { sum += it }
+        }
+        return sum
+    }
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Offered requests are counted over this time; it is short, so that a jump shows soon. */
+        const val OFFERED_MILLIS = 500L
+
+        /**
+         * The longest way of a report, over two relays in different failure domains: a period to the first, four to the
+         * second, and one to the node.
+         */
+        const val REPORT_LAG_MILLIS = 600L
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/allowance/CustomerUse.kt
@@ -0,0 +1,11 @@
+package ragwortbarrow.core.allowance
+
+/** Requests of one customer. */
+data class CustomerUse(
+    /** Admitted in the window of the customer's rate. */
+    val admitted: Int = 0,
+    /** Offered in the last half second, admitted or not. */
+    val offered: Int = 0,
+) {
+    operator fun plus(other: CustomerUse) = CustomerUse(admitted + other.admitted, offered + other.offered)
+}
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -6,16 +6,20 @@
 
 /**
  * The nodes of the fleet as this one knows them. A node that is silent for [silentMillis] counts as unreachable; it
- * stays a member, since it may be alive behind a partition, until it has been silent for [forgetMillis].
+ * stays a member, since it may be alive behind a partition, until it has been silent for [forgetMillis]. Word of a node
+ * that comes through a relay is older, so such a node counts as silent after [relayedSilentMillis].
  */
 class FleetMembers(
     val self: FleetNode,
     private val timer: TimerService,
     private val silentMillis: Long = 1_200,
+    private val relayedSilentMillis: Long = 3_000,
     private val forgetMillis: Long = 30_000,
 ) {
     /** A member that was only named counts as heard for its first moments, until it could have answered. */
-    private class Known(var node: FleetNode, var heardMillis: Long, var isLeaving: Boolean, var wasHeard: Boolean)
+    private class Known(var node: FleetNode, var heardMillis: Long, var isLeaving: Boolean, var wasHeard: Boolean) {
+        var isRelayed = false
+    }
 
     private val known = HashMap<VmId, Known>()
 
@@ -52,7 +56,7 @@
         return true
     }
 
-    /** A member spoke; returns true if it is new, or came back after a silence or a restart. */
+    /** A member spoke; returns true if it is new, leaves, or came back after a silence or a restart. */
     fun heard(node: FleetNode, isLeaving: Boolean): Boolean {
         if (node.vm == self.vm) return false
         val seen = known[node.vm]
@@ -61,14 +65,47 @@
             return true
         }
         if (node.incarnation < seen.node.incarnation) return false
-        val isNews = !isHeard(seen) || !seen.wasHeard || node.incarnation != seen.node.incarnation
+        val isNews = !isHeard(seen) ||
+            !seen.wasHeard ||
+            node.incarnation != seen.node.incarnation ||
+            isLeaving != seen.isLeaving
         seen.node = node
         seen.heardMillis = timer.monotonicMillis()
         seen.isLeaving = isLeaving
         seen.wasHeard = true
+        seen.isRelayed = false
         return isNews
     }
 
+    /** A relay passed on word of a member; returns true if the member is new, came back, restarted or leaves. */
+    fun relayed(report: MemberReport): Boolean {
+        val node = report.node
+        if (node.vm == self.vm) return false
+        val saidMillis = timer.monotonicMillis() - report.ageMillis
+        val seen = known[node.vm]
+        if (seen == null) {
+            if (report.ageMillis > relayedSilentMillis) return false
+            known[node.vm] = Known(node, saidMillis, report.isLeaving, wasHeard = true).also { it.isRelayed = true }
+            return true
+        }
+        if (node.incarnation < seen.node.incarnation) return false
+        if (seen.wasHeard && saidMillis <= seen.heardMillis) return false
+        val wasReachable = isHeard(seen) && seen.wasHeard && node.incarnation == seen.node.incarnation
+        val leavesNow = report.isLeaving && !seen.isLeaving
+        seen.node = node
+        seen.heardMillis = saidMillis
+        seen.isLeaving = report.isLeaving
+        seen.wasHeard = true
+        seen.isRelayed = true
+        return leavesNow || (!wasReachable && isHeard(seen))
+    }
+
+    /** What this node knows of the other members, for the nodes that it relays. */
+    fun reports(): List<MemberReport> {
+        val nowMillis = timer.monotonicMillis()
+        return known.values.map { MemberReport(it.node, nowMillis - it.heardMillis, it.isLeaving) }
+    }
+
     /** Drops members that have been silent for long; returns them. */
     fun forgetLost(): List<FleetNode> {
         val nowMillis = timer.monotonicMillis()
@@ -77,5 +114,6 @@
         return lost
     }
 
-    private fun isHeard(member: Known) = timer.monotonicMillis() - member.heardMillis <= silentMillis
+    private fun isHeard(member: Known) = timer.monotonicMillis() - member.heardMillis <=
+        if (member.isRelayed) relayedSilentMillis else silentMillis
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetNode.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetNode.kt
@@ -9,4 +9,6 @@
     val address: String,
     val incarnation: Long,
     val failureDomain: FailureDomainId = FailureDomainId(""),
+    /** Processor share in thousandths of a processor; 0 if the node does not say. */
+    val capacityMillis: Int = 0,
 )
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetPeer.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetPeer.kt
@@ -19,6 +19,9 @@
 
     /** Stops a job that was cancelled; false if the node does not run it. */
     suspend fun endJob(job: String): Result<Boolean, PeerError>
+
+    /** Batch [jobs] that should run at the node: it takes over those that it does not run. */
+    suspend fun checkJobs(jobs: List<String>): Result<Unit, PeerError>
 }
 
 /** Connects to nodes by their peer address. */
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
@@ -1,10 +1,6 @@
 package ragwortbarrow.core.fleet
 
-import ragwortbarrow.core.ids.BackendServerId
-import ragwortbarrow.core.ids.CustomerId
-import ragwortbarrow.core.placement.Occupancy
-
-/** What a node tells the others a few times a second. */
+/** What a node tells another one a few times a second. */
 data class NodeState(
     val sender: FleetNode,
     val isLeaving: Boolean,
@@ -12,15 +8,19 @@
     val configurationVersion: Long,
     /** The platform's revision up to which the node has seen the backend servers. */
     val serversRevision: Long,
-    val loads: Map<BackendServerId, Occupancy>,
-    /** Requests of each customer that the node admitted in the window of its rate. */
-    val admitted: Map<CustomerId, Int>,
-    /** Left out of most reports, since members change seldom. */
-    val members: List<FleetNode>,
+    /** Of the sender and of the nodes that it relays to the receiver. */
+    val contribution: Contribution,
+    /** Other members that the sender relays; left out of most reports, since members change seldom. */
+    val members: List<MemberReport>,
     /** Batch jobs that were cancelled lately. */
     val endedJobs: List<String>,
-    /** Batch jobs that the node runs and took over from another one. */
-    val takenJobs: List<String>,
-    /** Batch jobs that the node accepted in the last second and runs. */
-    val acceptedJobs: List<String>,
+    /** The receiver is the sender's relay: it tells the others of the sender, and the sender of all others. */
+    val isRelayed: Boolean = false,
+    /** A request waits for a slot that a batch item has, at the receiver or at a node that it relays. */
+    val isUrgent: Boolean = false,
+    /** Whether the platform's store answers the sender. */
+    val isPlatformAnswering: Boolean = true,
 )
+
+/** What a relay heard of a member [ageMillis] ago. */
+data class MemberReport(val node: FleetNode, val ageMillis: Long, val isLeaving: Boolean)
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -3,6 +3,7 @@
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.routing.ServerHealth
+import ragwortbarrow.core.time.SlidingCount
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.time.monotonicMillis
 
@@ -14,12 +15,24 @@
     private val timer: TimerService,
     private val health: ServerHealth = ServerHealth(timer, maxPauseMillis = MAX_PAUSE_MILLIS),
 ) {
+    private class PeerReport(
+        val loads: Map<BackendServerId, Occupancy>,
+        val outcomes: Map<BackendServerId, ServerOutcomes>,
+    )
+
+    private class OwnOutcomes {
+        val answered = SlidingCount(OUTCOME_MILLIS)
+        val failed = SlidingCount(OUTCOME_MILLIS)
+    }
+
     private var servers = emptyMap<BackendServerId, BackendServer>()
     private var byService = emptyMap<String, List<BackendServer>>()
     private val own = HashMap<BackendServerId, Occupancy>()
     private val onlineStarts = HashMap<BackendServerId, ArrayList<Long>>()
-    private val peers = HashMap<VmId, Map<BackendServerId, Occupancy>>()
+    private val peers = HashMap<VmId, PeerReport>()
     private var peerTotals = emptyMap<BackendServerId, Occupancy>()
+    private var peerOutcomes = emptyMap<BackendServerId, ServerOutcomes>()
+    private val ownOutcomes = HashMap<BackendServerId, OwnOutcomes>()
     private val answering = HashMap<BackendServerId, Int>()
     private val heardMillis = HashMap<BackendServerId, Long>()
     private val blockedUntilMillis = HashMap<BackendServerId, Long>()
@@ -30,6 +43,7 @@
         byService = list.groupBy { it.service }
         health.retain(servers.keys)
         blockedUntilMillis.keys.retainAll(servers.keys)
+        ownOutcomes.keys.retainAll(servers.keys)
         heardMillis.keys.retainAll(servers.keys)
     }
 
@@ -67,9 +81,37 @@
         val usable = ofService.filter {
             !it.isDraining && it.id !in except && (blockedUntilMillis[it.id] ?: 0) <= nowMillis
         }
-        return usable.filter { health.isUsable(it.id) && !isSilent(it.id) }
+        val sound = usable.filter { health.isUsable(it.id) && !isSilent(it.id) }
+        return sound.filter { !isFailing(it.id) }.ifEmpty { sound }
+    }
+
+    /**
+     * Whether [server] failed a large part of the online requests that all nodes sent it lately, whatever it says of its
+     * health. One node sends a server too few requests to tell.
+     */
+    fun isFailing(server: BackendServerId): Boolean {
+        val seen = outcomes(server)
+        return seen.failed >= FAILING_COUNT && seen.failed >= (seen.answered + seen.failed) * FAILING_SHARE
+    }
+
+    /** How [server] ended online requests of the last seconds, of this node and as far as known of all others. */
+    fun outcomes(server: BackendServerId): ServerOutcomes =
+        (ownOutcomes[server]?.let { ServerOutcomes(sum(it.answered), sum(it.failed)) } ?: ServerOutcomes()) +
+            (peerOutcomes[server] ?: ServerOutcomes())
+
+    /** This node's own part of [outcomes]. */
+    fun ownOutcomes(): Map<BackendServerId, ServerOutcomes> =
+        ownOutcomes.mapValues { (_, seen) -> ServerOutcomes(sum(seen.answered), sum(seen.failed)) }
+            .filterValues { it.answered > 0 || it.failed > 0 }
+
+    /** An online request that [server] had received ended there. */
+    fun onlineEnded(server: BackendServerId, isAnswered: Boolean) {
+        val seen = ownOutcomes.getOrPut(server) { OwnOutcomes() }
+        (if (isAnswered) seen.answered else seen.failed).add(timer.monotonicMillis())
     }
 
+    private fun sum(count: SlidingCount) = count.sum(timer.monotonicMillis())
+
     /** All servers of [service] that are not leaving, also those that failed lately. */
     fun known(service: String): List<BackendServer> = byService[service].orEmpty().filter { !it.isDraining }
 
@@ -113,15 +155,19 @@
         blockedUntilMillis[server] = timer.monotonicMillis() + millis
     }
 
-    /** Takes over what [peer] says of its requests in flight. */
-    fun peerLoads(peer: VmId, loads: Map<BackendServerId, Occupancy>) {
-        peers[peer] = loads
+    /** Takes over what [peer], and the nodes behind it, have in flight and saw of the servers. */
+    fun peerLoads(
+        peer: VmId,
+        loads: Map<BackendServerId, Occupancy>,
+        outcomes: Map<BackendServerId, ServerOutcomes> = emptyMap(),
+    ) {
+        peers[peer] = PeerReport(loads, outcomes)
         sumPeers()
     }
 
-    /** The other node with the most batch items at [server], or null if no other node has any there. */
+    /** The peer with the most batch items at [server], itself or behind it, or null if there are none. */
     fun busiestBatchPeer(server: BackendServerId): VmId? = peers
-        .mapValues { (_, loads) -> loads[server]?.batch ?: 0 }
+        .mapValues { (_, report) -> report.loads[server]?.batch ?: 0 }
         .filterValues { it > 0 }
         .maxByOrNull { it.value }?.key
 
@@ -131,8 +177,13 @@
 
     private fun sumPeers() {
         val totals = HashMap<BackendServerId, Occupancy>()
-        for (loads in peers.values) for ((server, load) in loads) totals.merge(server, load, Occupancy::plus)
+        val outcomes = HashMap<BackendServerId, ServerOutcomes>()
+        for (report in peers.values) {
+            for ((server, load) in report.loads) totals.merge(server, load, Occupancy::plus)
+            for ((server, seen) in report.outcomes) outcomes.merge(server, seen, ServerOutcomes::plus)
+        }
         peerTotals = totals
+        peerOutcomes = outcomes
     }
 
     private fun count(server: BackendServerId, isBatch: Boolean, change: Int) {
@@ -153,5 +204,12 @@
 
         /** Many times the pause between two events of an engine that runs all its slots. */
         const val SILENT_MILLIS = 500L
+
+        /** Outcomes count for this long; a server that failed gets a new chance after it. */
+        const val OUTCOME_MILLIS = 10_000L
+
+        /** A server fails when it failed this many requests and this share of them. */
+        const val FAILING_COUNT = 3
+        const val FAILING_SHARE = 0.2
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/allowance/SlidingCount.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/time/SlidingCount.kt
@@ -1,4 +1,4 @@
-package ragwortbarrow.core.allowance
+package ragwortbarrow.core.time
 
 /** Counts events of the last [windowMillis], in slices of a fiftieth of the window. */
 internal class SlidingCount(private val windowMillis: Long) {
--- a/core/src/test/kotlin/ragwortbarrow/core/allowance/AllowanceLedgerTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/allowance/AllowanceLedgerTest.kt
@@ -18,13 +18,17 @@
     private val limitInWindow = 20.0 * 5 + 20
     private val toleratedInWindow = limitInWindow * 1.1 + 20
 
-    private inner class Fleet(size: Int) {
-        val ledgers = (0 until size).associate { VmId("vm$it") to AllowanceLedger(timer, WINDOW_MILLIS) }
+    /** Nodes whose reports reach the others after [lagPeriods] periods. */
+    private inner class Fleet(size: Int, private val lagPeriods: Int = 1) {
+        val ledgers = (0 until size).associate { VmId("vm$it") to AllowanceLedger(timer, WINDOW_MILLIS, Random(it)) }
+        private val underWay = ArrayDeque<Map<VmId, Map<CustomerId, CustomerUse>>>()
         val admittedAtMillis = ArrayList<Long>()
         var silent: (VmId, VmId) -> Boolean = { _, _ -> false }
 
         fun exchange() {
-            val reports = ledgers.mapValues { it.value.report() }
+            underWay += ledgers.mapValues { it.value.report() }
+            if (underWay.size < lagPeriods) return
+            val reports = underWay.removeFirst()
             for ((to, ledger) in ledgers) {
                 for ((from, report) in reports) if (from != to && !silent(from, to)) ledger.peerReport(from, report)
             }
@@ -71,6 +75,24 @@
         expectThat(fleet.mostInWindow().toDouble()).isGreaterThan(limitInWindow * 0.8)
     }
 
+    @Test
+    fun `a customer that jumps to eight times its load stays within the tolerance over seventy nodes`() {
+        val fleet = Fleet(74, lagPeriods = LONGEST_LAG_PERIODS)
+        fleet.offer(perSecond = 13, seconds = 10, random = Random(5))
+        fleet.offer(perSecond = 98, seconds = 10, random = Random(5))
+        expectThat(fleet.mostInWindow().toDouble()).isLessThanOrEqualTo(toleratedInWindow)
+        expectThat(fleet.mostInWindow().toDouble()).isGreaterThan(limitInWindow * 0.8)
+    }
+
+    @Test
+    fun `a customer within its rate is not refused at any of seventy nodes`() {
+        val refused = Fleet(
+            74,
+            lagPeriods = LONGEST_LAG_PERIODS,
+        ).offer(perSecond = 12, seconds = 60, random = Random(1))
+        expectThat(refused).isEqualTo(0)
+    }
+
     @Test
     fun `two halves that do not hear each other do not both spend the whole`() {
         val fleet = Fleet(8)
@@ -83,7 +105,7 @@
     @Test
     fun `what a node reported before it fell silent leaves the window too`() {
         val ledger = AllowanceLedger(timer, WINDOW_MILLIS)
-        ledger.peerReport(VmId("vm1"), mapOf(customer.id to 100))
+        ledger.peerReport(VmId("vm1"), mapOf(customer.id to CustomerUse(admitted = 100)))
         expectThat(ledger.admit(customer, 2, 1).used).isEqualTo(100)
         timer.advance(WINDOW_MILLIS)
         expectThat(ledger.admit(customer, 2, 1).isAdmitted).isEqualTo(true)
@@ -116,5 +138,8 @@
     private companion object {
         const val WINDOW_MILLIS = 5_000L
         const val PERIOD_MILLIS = 200
+
+        /** A report over two relays in different failure domains takes 600 ms at most. */
+        const val LONGEST_LAG_PERIODS = 3
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/RelayPlanTest.kt
@@ -0,0 +1,145 @@
+package ragwortbarrow.core.fleet
+
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.time.ManualTimerService
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import kotlin.random.Random
+
+class RelayPlanTest {
+    private val timer = ManualTimerService()
+
+    private fun node(domain: Int, number: Int, capacityMillis: Int = 360) = FleetNode(
+        VmId("vm-$domain-${number.toString().padStart(2, '0')}"),
+        "10.$domain.0.$number:1",
+        incarnation = 1,
+        failureDomain = FailureDomainId("domain-$domain"),
+        capacityMillis = capacityMillis,
+    )
+
+    private fun fleet(domains: Int, size: Int) = (0 until domains).flatMap { d -> (0 until size).map { node(d, it) } }
+
+    private fun members(self: FleetNode, others: List<FleetNode>) = FleetMembers(self, timer).apply {
+        others.filter { it.vm != self.vm }.forEach { heard(it, isLeaving = false) }
+    }
+
+    private fun plan(self: FleetNode, others: List<FleetNode>) = RelayPlan(members(self, others), timer)
+
+    @Test
+    fun `in a small fleet all nodes exchange with each other`() {
+        val fleet = fleet(domains = 3, size = 3)
+        for (node in fleet) expectThat(plan(node, fleet).partners()).hasSize(8)
+    }
+
+    @Test
+    fun `in a large fleet a node exchanges with one relay and a relay with all relays`() {
+        val fleet = fleet(domains = 3, size = 25)
+        val plans = fleet.map { plan(it, fleet) }
+        expectThat(plans.count { it.isRelay }).isEqualTo(9)
+        for (plan in plans) expectThat(plan.partners()).hasSize(if (plan.isRelay) 8 else 1)
+    }
+
+    @Test
+    fun `the nodes of a failure domain spread over its relays`() {
+        val fleet = fleet(domains = 1, size = 60)
+        val homes = fleet.mapNotNull { plan(it, fleet).home()?.vm }.groupingBy { it }.eachCount()
+        expectThat(homes.size).isEqualTo(RelayPlan.RELAYS)
+        expectThat(homes.values.max()).isLessThan(30)
+    }
+
+    @Test
+    fun `nodes with more processor time relay`() {
+        val strong = listOf(node(0, 40, 1_500), node(0, 41, 1_500))
+        val fleet = fleet(domains = 1, size = 20) + strong
+        expectThat(plan(fleet.first(), fleet).relays(FailureDomainId("domain-0")))
+            .containsExactly(strong + fleet.first())
+    }
+
+    @Test
+    fun `a relay that does not answer twice is left for another one until it has had time to recover`() {
+        val fleet = fleet(domains = 1, size = 10)
+        val plan = plan(fleet.last(), fleet)
+        val first = expectThat(plan.home()).isNotNull().subject
+        plan.failed(first.vm)
+        expectThat(plan.home()).isEqualTo(first)
+        plan.failed(first.vm)
+        expectThat(plan.home()).isNotNull().isNotEqualTo(first)
+        plan.answered(first.vm)
+        expectThat(plan.home()).isEqualTo(first)
+    }
+
+    @Test
+    fun `a failure domain of which nothing is heard is still called`() {
+        val fleet = fleet(domains = 2, size = 10)
+        val members = members(fleet.first(), fleet)
+        val plan = RelayPlan(members, timer)
+        timer.advance(5_000)
+        fleet.filter { it.failureDomain.value == "domain-0" }.forEach { members.heard(it, isLeaving = false) }
+        expectThat(plan.partners().filter { it.failureDomain.value == "domain-1" }).hasSize(RelayPlan.RELAYS)
+    }
+
+    @Test
+    fun `no two nodes relay each other whatever they heard of the others`() {
+        val fleet = fleet(domains = 1, size = 30)
+        val random = Random(7)
+        repeat(200) {
+            val homes = fleet.associateWith { node ->
+                plan(node, fleet.filter { it != node && random.nextInt(4) > 0 }).home()
+            }
+            for (node in fleet) {
+                var at = homes[node]
+                var steps = 0
+                while (at != null && steps <= fleet.size) {
+                    at = homes[at]
+                    steps++
+                }
+                expectThat(steps).isLessThan(fleet.size)
+            }
+        }
+    }
+
+    @Test
+    fun `relays watch the platform, and the next nodes when it does not answer their relay`() {
+        val fleet = fleet(domains = 1, size = 10)
+        val plans = fleet.map { plan(it, fleet) }
+        expectThat(plans.count { it.isWatcher(isPlatformAnsweringHome = true) }).isEqualTo(RelayPlan.RELAYS)
+        expectThat(plans.count { it.isWatcher(isPlatformAnsweringHome = false) }).isEqualTo(2 * RelayPlan.RELAYS)
+    }
+
+    @Test
+    fun `one node is the coordinator and the next one when it falls silent`() {
+        val fleet = fleet(domains = 2, size = 4)
+        val plans = fleet.map { plan(it, fleet) }
+        expectThat(plans.map { it.isCoordinator() }.count { it }).isEqualTo(1)
+        val members = members(fleet[1], fleet)
+        timer.advance(2_000)
+        fleet.drop(2).forEach { members.heard(it, isLeaving = false) }
+        expectThat(RelayPlan(members, timer).isCoordinator()).isTrue()
+    }
+
+    @Test
+    fun `word of a relayed member counts from when it spoke`() {
+        val self = node(0, 1)
+        val other = node(0, 2)
+        val members = FleetMembers(self, timer)
+        expectThat(members.relayed(MemberReport(other, ageMillis = 1_000, isLeaving = false))).isTrue()
+        timer.advance(1_900)
+        expectThat(members.isReachable(other.vm)).isTrue()
+        expectThat(members.relayed(MemberReport(other, ageMillis = 2_900, isLeaving = false))).isFalse()
+        timer.advance(200)
+        expectThat(members.isReachable(other.vm)).isFalse()
+        expectThat(members.reports().map { it.node }).contains(other)
+        expectThat(plan(self, emptyList()).home()).isNull()
+    }
+}
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/ServerBoardTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/ServerBoardTest.kt
@@ -57,4 +57,25 @@
         expectThat(board.busiestBatchPeer(id)).isNull()
         expectThat(board.occupancy(id).total).isEqualTo(0)
     }
+
+    @Test
+    fun `a server that fails part of its requests at all nodes gets no more while others are sound`() {
+        val other = BackendServer(BackendServerId("b"), "engines", "10.0.0.2:80", FailureDomainId("dalton"), slots = 8)
+        board.replace(listOf(BackendServer(id, "engines", "10.0.0.1:80", FailureDomainId("dalton"), slots = 8), other))
+        board.onlineEnded(id, isAnswered = true)
+        board.onlineEnded(id, isAnswered = false)
+        expectThat(board.eligible("engines")).hasSize(2)
+        board.peerLoads(VmId("b"), emptyMap(), mapOf(id to ServerOutcomes(answered = 5, failed = 2)))
+        expectThat(board.eligible("engines").single()).isEqualTo(other)
+        board.onlineEnded(other.id, isAnswered = false)
+        board.peerLoads(VmId("b"), emptyMap(), mapOf(id to ServerOutcomes(5, 2), other.id to ServerOutcomes(0, 9)))
+        expectThat(board.eligible("engines")).hasSize(2)
+    }
+
+    @Test
+    fun `failures that are few among many answers do not take a server out`() {
+        repeat(40) { board.onlineEnded(id, isAnswered = true) }
+        repeat(5) { board.onlineEnded(id, isAnswered = false) }
+        expectThat(board.isFailing(id)).isFalse()
+    }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.intOrNull
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.longOrNull
 import ragwortbarrow.core.allowance.AllowanceLedger
@@ -24,6 +25,7 @@
 import ragwortbarrow.core.fleet.ItemBody
 import ragwortbarrow.core.fleet.JobPage
 import ragwortbarrow.core.fleet.NodeState
+import ragwortbarrow.core.fleet.RelayPlan
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.fleet.SnapshotKind
 import ragwortbarrow.core.ids.FailureDomainId
@@ -78,6 +80,7 @@
         settings.peerAddress,
         incarnation = System.currentTimeMillis(),
         settings.failureDomain,
+        settings.capacityMillis,
     )
 
     private val board = ServerBoard(timer)
@@ -89,7 +92,8 @@
     private val members = FleetMembers(self, timer)
     private val connector = GrpcFleetConnector(GrpcChannels(group = group, keepAliveSeconds = PEER_PROBE_SECONDS))
     private val exchange = FleetLink.Parts(board, ledger, configuration, servers, endedJobs)
-    private val link = FleetLink(members, connector, exchange, timer, scope, log)
+    private val plan = RelayPlan(members, timer)
+    private val link = FleetLink(members, plan, connector, exchange, timer, scope, log)
 
     private val store = this.platform.store
     private val writer = SafeWriter(store, timer, "${self.vm}/${self.incarnation}")
@@ -112,7 +116,7 @@
         metrics,
         log,
     )
-    private val warden = JobWarden(members, records, runner, timer, scope, log)
+    private val warden = JobWarden(members, plan, connector, records, runner, timer, scope, log)
     private val jobs = JobDesk(runner, records, members, connector, endedJobs, protocol, timer, log)
     private val forwarder = Forwarder(
         Forwarder.Parts(board, OnlinePlacement(board, holds, settings.failureDomain), holds, engines),
@@ -149,6 +153,7 @@
         link.othersTook = runner::othersTook
         link.acceptedJobs = jobs::acceptedLately
         link.othersAccepted = jobs::othersAccepted
+        link.isPlatformAnswering = platform::isStoreAnswering
         gauges()
         peerServer.start()
         health.bind(settings.healthAddress)
@@ -251,7 +256,9 @@
         timer = timer,
         scope = scope,
         // While the store does not answer, one watcher tries for all of them.
-        elected = { kind == ObjectKind.PUBLISHED_CONFIGURATIONS || platform.isStoreAnswering },
+        elected = {
+            link.isWatcher && (kind == ObjectKind.PUBLISHED_CONFIGURATIONS || platform.isStoreAnswering)
+        },
         changed = { changed(it) },
         listed = { listed(it) },
         removed = { name, version -> removed(name, version) },
@@ -289,6 +296,7 @@
                 "address" to JsonPrimitive(self.address),
                 "incarnation" to JsonPrimitive(self.incarnation),
                 "failureDomain" to JsonPrimitive(self.failureDomain.value),
+                "capacityMillis" to JsonPrimitive(self.capacityMillis),
             ),
         )
         while (!(isRegistered(spec) && learnMembers())) timer.pause(REGISTER_RETRY_MILLIS)
@@ -312,7 +320,8 @@
         val address = spec["address"]?.jsonPrimitive?.content ?: return null
         val incarnation = spec["incarnation"]?.jsonPrimitive?.longOrNull ?: return null
         val domain = spec["failureDomain"]?.jsonPrimitive?.content.orEmpty()
-        return FleetNode(VmId(name), address, incarnation, FailureDomainId(domain))
+        val capacityMillis = spec["capacityMillis"]?.jsonPrimitive?.intOrNull ?: 0
+        return FleetNode(VmId(name), address, incarnation, FailureDomainId(domain), capacityMillis)
     }
 
     private fun gauges() {
@@ -343,6 +352,11 @@
             endedJobs.add(job)
             return Ok(runner.end(job))
         }
+
+        override suspend fun checkJobs(jobs: List<String>): Result<Unit, PeerError> {
+            scope.launch { warden.check(jobs) }
+            return Ok(Unit)
+        }
     }
 
     private companion object {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
@@ -6,32 +6,38 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import ragwortbarrow.core.allowance.AllowanceLedger
+import ragwortbarrow.core.fleet.Contribution
 import ragwortbarrow.core.fleet.FleetConnector
 import ragwortbarrow.core.fleet.FleetMembers
 import ragwortbarrow.core.fleet.FleetNode
+import ragwortbarrow.core.fleet.MemberReport
 import ragwortbarrow.core.fleet.NodeState
+import ragwortbarrow.core.fleet.RelayPlan
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.fleet.SnapshotKind
-import ragwortbarrow.core.ids.CustomerId
 import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.peer.PeerError
 import ragwortbarrow.core.placement.ServerBoard
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.monotonicMillis
 
 /**
- * Exchanges states with the other entry nodes: loads of backend servers, admitted requests, the newest configuration
- * and list of servers. Of two nodes the one with the lower VM id calls, so each pair exchanges once a period.
+ * Exchanges states with other entry nodes: loads and outcomes of backend servers, admitted requests, the newest
+ * configuration and list of servers. With whom is [RelayPlan]'s decision. A relay passes on the sum of what the nodes
+ * behind it do to the other relays, and the sum of everything to each of these nodes.
  */
 class FleetLink(
     val members: FleetMembers,
+    val plan: RelayPlan,
     private val connector: FleetConnector,
     private val parts: Parts,
     private val timer: TimerService,
     private val scope: CoroutineScope,
     private val log: DecisionLog,
-    private val periodMillis: Long = 200,
+    private val periodMillis: Long = 100,
 ) {
     /** What is exchanged. */
     class Parts(
@@ -42,11 +48,18 @@
         val endedJobs: EndedJobs,
     )
 
+    /** The last state of a node with which this one exchanges states. */
+    private class Heard(val state: NodeState, val atMillis: Long, val exchanges: Int)
+
+    private val heard = HashMap<VmId, Heard>()
     private val calling = HashSet<VmId>()
+    private val urgentAfterCall = HashSet<VmId>()
+    private val membersToldTick = HashMap<VmId, Long>()
     private val unreachable = HashSet<VmId>()
-    private val behindSince = HashMap<SnapshotKind, Long>()
+    private val behindSinceNanos = HashMap<SnapshotKind, Long>()
+    private val fetching = HashSet<SnapshotKind>()
     private var ticks = 0L
-    private var report = emptyMap<CustomerId, Int>()
+    private var newsTick = 0L
 
     var isLeaving = false
 
@@ -59,18 +72,28 @@
     /** Jobs that this node took over from others. */
     var takenJobs: () -> List<String> = { emptyList() }
 
-    /** Jobs that this node accepted lately. */
-    var acceptedJobs: () -> List<String> = { emptyList() }
+    /** Jobs that this node accepted lately, with their holder. */
+    var acceptedJobs: () -> Map<String, JobHolder> = { emptyMap() }
 
-    /** Called with jobs that another node accepted and runs. */
-    var othersAccepted: (jobs: List<String>, node: FleetNode) -> Unit = { _, _ -> }
+    /** Called with jobs that other nodes accepted and run. */
+    var othersAccepted: (Map<String, JobHolder>) -> Unit = {}
 
-    /** Called with jobs that another node says it took over. */
+    /** Called with jobs that other nodes say they took over. */
     var othersTook: (jobs: List<String>) -> Unit = {}
 
     /** Called when another node told of its loads. */
     var loadsChanged: () -> Unit = {}
 
+    /** Whether the platform's store answers this node. */
+    var isPlatformAnswering: () -> Boolean = { true }
+
+    /** Whether this node has to watch the platform itself. */
+    val isWatcher: Boolean
+        get() {
+            val home = plan.home()?.let { heard[it.vm] }
+            return plan.isWatcher(home?.state?.isPlatformAnswering ?: true)
+        }
+
     fun start(seedAddresses: List<String>) {
         seedAddresses.forEach { contactSeed(it) }
         timer.every(periodMillis) { tick() }
@@ -79,37 +102,48 @@
     /** Introduces this node to the one at [address], which tells of the others. */
     fun contactSeed(address: String) {
         if (address == members.self.address) return
-        scope.launch { connector.connect(address).exchange(state()).fold({ received(it) }, {}) }
+        val introduction = state(to = null).copy(isRelayed = true)
+        scope.launch {
+            connector.connect(address).exchange(introduction).fold(
+                { received(it) },
+                { log.record("seed_not_reached", "address" to address, "reason" to it) },
+            )
+        }
     }
 
     /** A peer called with its state; returns this node's own. */
     fun exchanged(state: NodeState): NodeState {
         received(state)
-        return state()
+        return state(state.sender.vm)
     }
 
     /** Tells the others at once that this node leaves. */
     fun announceLeaving() {
         isLeaving = true
-        members.others().forEach { call(it) }
+        (plan.partners() + relayedNodes()).forEach { call(it) }
     }
 
-    /** Tells [vm] of this node's loads now, because it has batch items where an online request has to wait. */
+    /** Tells [vm] of the loads now, because a request waits for a slot of a batch item there or behind it. */
     fun pushTo(vm: VmId) {
-        members.reachable().firstOrNull { it.vm == vm }?.let { call(it) }
+        val node = members.others().firstOrNull { it.vm == vm } ?: return
+        if (vm in calling) urgentAfterCall += vm else call(node, isUrgent = true)
     }
 
+    private fun relayedNodes(): List<FleetNode> = heard.values.filter { it.state.isRelayed }.map { it.state.sender }
+
     private fun tick() {
         ticks++
-        report = parts.ledger.report()
-        for (node in members.others()) {
-            val isCaller = members.self.vm.value < node.vm.value
+        val partners = plan.partners()
+        val home = plan.home()
+        for (node in partners) {
             // Bytes between failure domains cost more, and most placements stay within one.
             val isNear = node.failureDomain == members.self.failureDomain
             if (!isNear && ticks % FAR_EVERY != 0L && members.isReachable(node.vm)) continue
+            val isCaller = node == home || members.self.vm.value < node.vm.value
             // The other side calls, but a side that hears nothing tries as well: a cut may be one-way.
-            if (isCaller || !members.isReachable(node.vm)) call(node)
+            if (isCaller || !isHeard(node.vm)) call(node)
         }
+        forgetContributions(partners)
         noteSilence()
         members.forgetLost().forEach {
             parts.ledger.forgetPeer(it.vm)
@@ -118,18 +152,43 @@
         refreshed()
     }
 
-    private fun call(node: FleetNode) {
+    private fun isHeard(vm: VmId): Boolean =
+        heard[vm]?.let { timer.monotonicMillis() - it.atMillis <= CONTRIBUTION_MILLIS } ?: false
+
+    /**
+     * Drops what a node said that fell silent, or that no longer exchanges states with this one. What the requests of a
+     * node that may have died used of the rates stays in their window; that of a living one arrives on another way.
+     */
+    private fun forgetContributions(partners: List<FleetNode>) {
+        val exchanging = partners.mapTo(HashSet()) { it.vm }
+        val gone = heard.filter { (vm, last) ->
+            !isHeard(vm) || !(last.state.isRelayed || vm in exchanging)
+        }.keys.toList()
+        for (vm in gone) {
+            heard.remove(vm)
+            membersToldTick.remove(vm)
+            parts.board.forgetPeer(vm)
+            if (members.isReachable(vm)) parts.ledger.forgetPeer(vm)
+        }
+    }
+
+    private fun call(node: FleetNode, isUrgent: Boolean = false) {
         if (!calling.add(node.vm)) return
         scope.launch {
             try {
-                connector.connect(node.address).exchange(state()).fold(
-                    { received(it) },
+                connector.connect(node.address).exchange(state(node.vm).copy(isUrgent = isUrgent)).fold(
+                    {
+                        plan.answered(node.vm)
+                        received(it)
+                    },
                     {
+                        plan.failed(node.vm)
                         if (members.isReachable(node.vm)) log.record("exchange_failed", "vm" to node.vm, "reason" to it)
                     },
                 )
             } finally {
                 calling.remove(node.vm)
+                if (urgentAfterCall.remove(node.vm)) call(node, isUrgent = true)
             }
         }
     }
@@ -137,45 +196,78 @@
     private fun received(state: NodeState) {
         val vm = state.sender.vm
         if (vm == members.self.vm) return
-        val isNews = members.heard(state.sender, state.isLeaving)
-        parts.board.peerLoads(vm, state.loads)
-        loadsChanged()
-        parts.ledger.peerReport(vm, state.admitted)
-        parts.endedJobs.learned(state.endedJobs)
-        if (state.takenJobs.isNotEmpty()) othersTook(state.takenJobs)
-        if (state.acceptedJobs.isNotEmpty()) othersAccepted(state.acceptedJobs, state.sender)
-        for (node in state.members) if (members.learned(node)) call(node)
-        if (isNews || state.isLeaving) {
-            unreachable.remove(vm)
+        var isNews = members.heard(state.sender, state.isLeaving)
+        if (isNews) {
             log.record(
                 "member_heard",
                 "vm" to vm,
                 "incarnation" to state.sender.incarnation,
                 "leaving" to state.isLeaving,
             )
+        }
+        heard[vm] = Heard(state, timer.monotonicMillis(), (heard[vm]?.exchanges ?: 0) + 1)
+        val said = state.contribution
+        parts.board.peerLoads(vm, said.loads, said.outcomes)
+        parts.ledger.peerReport(vm, said.uses)
+        loadsChanged()
+        if (state.isUrgent) passOnUrgency(state)
+        parts.endedJobs.learned(state.endedJobs)
+        if (said.takenJobs.isNotEmpty()) othersTook(said.takenJobs)
+        if (said.acceptedJobs.isNotEmpty()) othersAccepted(said.acceptedJobs)
+        for (report in state.members) {
+            if (!members.relayed(report)) continue
+            isNews = true
+            log.record(
+                "member_heard",
+                "vm" to report.node.vm,
+                "incarnation" to report.node.incarnation,
+                "leaving" to report.isLeaving,
+                "through" to vm,
+                "age_ms" to report.ageMillis,
+            )
+        }
+        if (isNews) {
+            newsTick = ticks
+            unreachable.removeAll { members.isReachable(it) }
             membershipChanged()
         }
         catchUp(SnapshotKind.CONFIGURATION, state, state.configurationVersion > parts.configuration.version)
         catchUp(SnapshotKind.SERVERS, state, state.serversRevision > parts.servers.revision)
     }
 
-    /** Fetches what the platform did not tell this node. The platform's own word is on its way in most cases. */
+    /**
+     * A relay tells the node with the most batch items at each server where requests wait. What it heard from another
+     * relay it tells only to nodes that it relays, so that no word goes in a circle.
+     */
+    private fun passOnUrgency(state: NodeState) {
+        val crowded = parts.board.all().filter { parts.board.occupancy(it.id).total > it.slots }
+        crowded.mapNotNullTo(HashSet()) { parts.board.busiestBatchPeer(it.id) }
+            .filter { it != state.sender.vm && (state.isRelayed || heard[it]?.state?.isRelayed == true) }
+            .forEach { pushTo(it) }
+    }
+
+    /** Fetches what the platform did not tell this node. To a node that watches, its own word is mostly on its way. */
     private fun catchUp(kind: SnapshotKind, state: NodeState, isBehind: Boolean) {
         val nowNanos = timer.nanoTime()
         if (!isBehind) {
             if (kind == SnapshotKind.CONFIGURATION || state.serversRevision == parts.servers.revision) {
-                behindSince.remove(kind)
+                behindSinceNanos.remove(kind)
             }
             return
         }
-        val since = behindSince.getOrPut(kind) { nowNanos }
-        if (nowNanos - since < PATIENCE_NANOS) return
-        behindSince[kind] = nowNanos
+        val since = behindSinceNanos.getOrPut(kind) { nowNanos }
+        if (isWatcher && nowNanos - since < PATIENCE_NANOS) return
+        if (!fetching.add(kind)) return
         scope.launch {
-            connector.connect(state.sender.address).fetchSnapshot(kind).fold(
-                { take(kind, it, state.sender.vm) },
-                { log.record("snapshot_failed", "kind" to kind, "vm" to state.sender.vm, "reason" to it) },
-            )
+            try {
+                connector.connect(state.sender.address).fetchSnapshot(kind).fold(
+                    { take(kind, it, state.sender.vm) },
+                    { log.record("snapshot_failed", "kind" to kind, "vm" to state.sender.vm, "reason" to it) },
+                )
+            } finally {
+                fetching.remove(kind)
+                behindSinceNanos.remove(kind)
+            }
         }
     }
 
@@ -187,34 +279,62 @@
     private fun noteSilence() {
         for (node in members.others()) {
             if (members.isReachable(node.vm) || !unreachable.add(node.vm)) continue
-            parts.board.forgetPeer(node.vm)
             log.record("member_silent", "vm" to node.vm, "members" to members.size, "silent" to members.silent)
+            newsTick = ticks
             membershipChanged()
         }
     }
 
-    private fun state() = NodeState(
-        sender = members.self,
-        isLeaving = isLeaving,
-        configurationVersion = parts.configuration.version,
-        serversRevision = parts.servers.revision,
-        loads = parts.board.ownLoads(),
-        admitted = report,
-        members = if (ticks % MEMBERS_EVERY == 0L || ticks < MEMBERS_FIRST) members.others() else emptyList(),
-        endedJobs = parts.endedJobs.recent(),
-        takenJobs = takenJobs(),
-        acceptedJobs = acceptedJobs(),
-    )
+    private fun state(to: VmId?): NodeState {
+        val isRelayed = heard[to]?.state?.isRelayed ?: false
+        val own = Contribution(
+            loads = parts.board.ownLoads(),
+            outcomes = parts.board.ownOutcomes(),
+            uses = parts.ledger.report(),
+            takenJobs = takenJobs(),
+            acceptedJobs = acceptedJobs(),
+        )
+        // To a node that it relays, a relay tells everything; to others, what the nodes behind it do.
+        val passedOn = heard.filter { (vm, last) -> vm != to && (isRelayed || last.state.isRelayed) }
+        return NodeState(
+            sender = members.self,
+            isLeaving = isLeaving,
+            configurationVersion = parts.configuration.version,
+            serversRevision = parts.servers.revision,
+            contribution = own + passedOn.values.map { it.state.contribution },
+            members = if (tellsMembers(to)) memberReports(to, isRelayed) else emptyList(),
+            endedJobs = parts.endedJobs.recent(),
+            isRelayed = to != null && plan.home()?.vm == to,
+            isPlatformAnswering = isPlatformAnswering(),
+        )
+    }
+
+    private fun tellsMembers(to: VmId?): Boolean {
+        val last = heard[to]
+        if (last == null || last.exchanges <= MEMBERS_FIRST) return true
+        val isDue = ticks - (membersToldTick[to] ?: 0) >= MEMBERS_EVERY
+        if (isDue) membersToldTick[last.state.sender.vm] = ticks
+        return isDue || ticks - newsTick <= NEWS_TICKS
+    }
+
+    private fun memberReports(to: VmId?, toRelayed: Boolean): List<MemberReport> {
+        val relayed = relayedNodes().mapTo(HashSet()) { it.vm }
+        return members.reports().filter { it.node.vm != to && (toRelayed || it.node.vm in relayed) }
+    }
 
     private companion object {
-        /** Other failure domains are told every second period. */
-        const val FAR_EVERY = 2L
+        /** Other failure domains are told every fourth period. */
+        const val FAR_EVERY = 4L
 
-        /** Reports that name the members: the first ones, and then one in two seconds. */
-        const val MEMBERS_FIRST = 10L
+        /** Reports that name the members: the first ones, those after news, and then one in ten periods. */
+        const val MEMBERS_FIRST = 3
         const val MEMBERS_EVERY = 10L
+        const val NEWS_TICKS = 4L
+
+        /** What a node said counts for this long: three periods of exchange between failure domains. */
+        const val CONTRIBUTION_MILLIS = 1_200L
 
-        /** How long the platform's own watch may be behind a peer before the peer is asked; two periods. */
+        /** How long the platform's own watch may be behind a peer before the peer is asked; the time of its own call. */
         const val PATIENCE_NANOS = 400_000_000L
     }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -166,15 +166,19 @@
                             parts.holds.held(service, millisSince(sentNanos))
                             parts.board.succeeded(server.id)
                         }
+                        if (it !is Attempt.NotRun) parts.board.onlineEnded(server.id, isSound(it))
                     }
                 }
             } catch (failure: HttpFailure.ConnectFailed) {
                 Attempt.NotRun("connect: ${failure.message}")
             } catch (failure: HttpFailure.Broken) {
+                parts.board.onlineEnded(server.id, isAnswered = false)
                 Attempt.Broken("broken: ${failure.message}")
             }
         }
 
+        private fun isSound(attempt: Attempt) = attempt is Attempt.Answered && attempt.status < SERVER_ERRORS
+
         /**
          * A server that is cut off or stuck answers nothing. A request that may be sent again goes to another server
          * while that can still be in time; any other one waits.
@@ -202,7 +206,8 @@
 
         private suspend fun whole(answer: EngineAnswer): Attempt {
             val body = answer.body.rest(MAX_WHOLE_BYTES)
-            val mayRepeat = answer.head.status >= 500 && route.isRepeatable && possibleRuns + 1 < route.maxAttempts
+            val mayRepeat =
+                answer.head.status >= SERVER_ERRORS && route.isRepeatable && possibleRuns + 1 < route.maxAttempts
             if (mayRepeat) return Attempt.Broken("server answered ${answer.head.status}")
             if (reply.isStarted) return Attempt.Broken("server answered ${answer.head.status} to a resumed stream")
             reply.whole(answer.head.status, protocol.passedOn(answer.response), body)
@@ -293,6 +298,7 @@
         const val SILENCE_MILLIS = 600L
 
         const val RETRY_MILLIS = 1_000L
+        const val SERVER_ERRORS = 500
         const val SERVICE_UNAVAILABLE = 503
     }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobDesk.kt
@@ -71,15 +71,16 @@
     private val acceptedAtNanos = LinkedHashMap<String, Long>()
 
     /** Jobs that this node accepted within the last second, for the other nodes. */
-    fun acceptedLately(): List<String> {
+    fun acceptedLately(): Map<String, JobHolder> {
         val nowNanos = timer.nanoTime()
         acceptedAtNanos.values.removeIf { nowNanos - it > ACCEPTED_NANOS }
-        return acceptedAtNanos.keys.toList()
+        val self = JobHolder(members.self.vm.value, members.self.incarnation)
+        return acceptedAtNanos.mapValues { self }
     }
 
-    /** [node] runs [jobs]; callers that ask here need no word of the store. */
-    fun othersAccepted(jobs: List<String>, node: FleetNode) {
-        for (job in jobs) remotes.getOrPut(job) { Remote(JobHolder(node.vm.value, node.incarnation)) }
+    /** Other nodes run [jobs]; callers that ask here need no word of the store. */
+    fun othersAccepted(jobs: Map<String, JobHolder>) {
+        for ((job, holder) in jobs) if (job !in remotes) remotes[job] = Remote(holder)
     }
 
     suspend fun submit(
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -118,8 +118,9 @@
 
     /** Looks at the loads again: gives slots back, then fills the spare ones. */
     fun refresh() {
-        // Other nodes see the same spare slots in the same period; each takes its share of them.
-        startsLeft = maxOf(1, spareSlots() / parts.members.size)
+        // Other nodes see the same spare slots in the same period; each takes its share of them, some of them by lot.
+        val share = spareSlots().toDouble() / parts.members.size
+        startsLeft = (share + Random.nextDouble()).toInt()
         if (held.isEmpty()) return
         giveBack()
         expire()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
@@ -4,7 +4,10 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import ragwortbarrow.core.fleet.FleetConnector
 import ragwortbarrow.core.fleet.FleetMembers
+import ragwortbarrow.core.fleet.FleetNode
+import ragwortbarrow.core.fleet.RelayPlan
 import ragwortbarrow.core.jobs.BatchJob
 import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.jobs.JobRecords
@@ -17,12 +20,14 @@
 import ragwortbarrow.core.time.monotonicMillis
 
 /**
- * Takes over batch jobs whose node is gone. After each change of the membership the reachable nodes read the jobs, and
- * each takes those that fall to it. Two nodes that take the same job do no harm to its results, since chunks of results
- * are only ever created.
+ * Gives batch jobs whose node is gone to other nodes. After each change of the membership one node, the coordinator,
+ * reads the jobs and tells the nodes to which they fall; it also reminds the others of the jobs that they run. Two nodes
+ * that take the same job do no harm to its results, since chunks of results are only ever created.
  */
 class JobWarden(
     private val members: FleetMembers,
+    private val plan: RelayPlan,
+    private val connector: FleetConnector,
     private val records: JobRecords,
     private val runner: JobRunner,
     private val timer: TimerService,
@@ -50,7 +55,11 @@
         isScheduled = true
         timer.once(delayMillis) {
             isScheduled = false
-            if (mayTakeOver()) scope.launch { sweep() } else schedule(RETRY_MILLIS)
+            if (!mayTakeOver()) {
+                schedule(RETRY_MILLIS)
+            } else if (plan.isCoordinator()) {
+                scope.launch { sweep() }
+            }
         }
     }
 
@@ -71,7 +80,10 @@
         try {
             val jobs = records.jobs().getOrElse { return failed("jobs", it) }
             val states = records.states().getOrElse { return failed("job states", it) }
-            for (job in jobs) if (job.id !in closed) inspect(job, states[job.id] ?: JobState())
+            val open = jobs.filter { it.id !in closed && isOpen(it, states[it.id] ?: JobState()) }
+            val candidates = members.reachable() + members.self
+            val byNode = open.groupBy { nodeFor(it, states[it.id]?.holder ?: it.holder, candidates) }
+            for ((node, itsJobs) in byNode) tell(node, itsJobs.map { it.id })
         } finally {
             isSweeping = false
         }
@@ -82,22 +94,39 @@
         schedule(RETRY_MILLIS)
     }
 
-    private suspend fun inspect(job: BatchJob, state: JobState) {
-        if (state.isEnded || state.isFinished) {
-            closed += job.id
-            if (state.isEnded) runner.end(job.id)
-            return
-        }
-        val holder = state.holder ?: job.holder
-        if (holder != self && runner.held(job.id) != null) runner.release(job.id, holder)
-        if (members.mayRun(holder)) {
-            // This node was restarted by nobody, yet does not run the job: it was told to drop it by mistake.
-            if (holder == self && runner.held(job.id) == null) takeOver(job, holder)
-            return
+    private fun isOpen(job: BatchJob, state: JobState): Boolean {
+        if (!state.isEnded && !state.isFinished) return true
+        closed += job.id
+        if (state.isEnded) runner.end(job.id)
+        return false
+    }
+
+    /** The node that runs [job], or the one to which it falls because its [holder] is gone. */
+    private fun nodeFor(job: BatchJob, holder: JobHolder, candidates: List<FleetNode>): FleetNode =
+        candidates.firstOrNull { members.mayRun(holder) && it.vm.value == holder.vm }
+            ?: checkNotNull(RendezvousHash.choose(job.id, candidates) { it.vm.value })
+
+    private suspend fun tell(node: FleetNode, jobs: List<String>) {
+        if (node == members.self) return check(jobs)
+        connector.connect(node.address).checkJobs(jobs).fold(
+            {},
+            {
+                log.record("jobs_not_told", "vm" to node.vm, "jobs" to jobs.size, "reason" to it)
+                schedule(RETRY_MILLIS)
+            },
+        )
+    }
+
+    /** [jobs] should run here: those that do not are taken over, unless the store names another node that runs them. */
+    suspend fun check(jobs: List<String>) {
+        for (id in jobs) {
+            if (runner.held(id) != null) continue
+            val job = records.job(id).getOrElse { return failed("job $id", it) }
+            val state = records.state(id).getOrElse { return failed("state of $id", it) }
+            val holder = state.holder ?: job.holder
+            if (!isOpen(job, state) || (holder != self && members.mayRun(holder))) continue
+            takeOver(job, holder)
         }
-        val candidates = members.reachable() + members.self
-        if (RendezvousHash.choose(job.id, candidates) { it.vm.value } != members.self) return
-        takeOver(job, holder)
     }
 
     private suspend fun takeOver(job: BatchJob, from: JobHolder) {
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetEndpoint.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetEndpoint.kt
@@ -3,6 +3,8 @@
 import com.google.protobuf.ByteString
 import ragwortbarrow.core.fleet.FleetPeer
 import ragwortbarrow.core.fleet.SnapshotKind
+import ragwortbarrow.fleet.v1.CheckJobsReply
+import ragwortbarrow.fleet.v1.CheckJobsRequest
 import ragwortbarrow.fleet.v1.EndJobReply
 import ragwortbarrow.fleet.v1.EndJobRequest
 import ragwortbarrow.fleet.v1.FleetGrpcKt
@@ -38,4 +40,9 @@
 
     override suspend fun endJob(request: EndJobRequest): EndJobReply =
         EndJobReply.newBuilder().setHeld(service.endJob(request.job).orThrow()).build()
+
+    override suspend fun checkJobs(request: CheckJobsRequest): CheckJobsReply {
+        service.checkJobs(request.jobsList).orThrow()
+        return CheckJobsReply.getDefaultInstance()
+    }
 }
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -1,8 +1,11 @@
 package ragwortbarrow.peer
 
 import com.google.protobuf.ByteString
+import ragwortbarrow.core.allowance.CustomerUse
+import ragwortbarrow.core.fleet.Contribution
 import ragwortbarrow.core.fleet.FleetNode
 import ragwortbarrow.core.fleet.JobPage
+import ragwortbarrow.core.fleet.MemberReport
 import ragwortbarrow.core.fleet.NodeState
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.ids.BackendServerId
@@ -10,10 +13,14 @@
 import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.jobs.ItemResult
+import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.placement.Occupancy
-import ragwortbarrow.fleet.v1.CustomerUse
+import ragwortbarrow.core.placement.ServerOutcomes
+import ragwortbarrow.fleet.v1.AcceptedJob
+import ragwortbarrow.fleet.v1.Member
 import ragwortbarrow.fleet.v1.ResultsReply
 import ragwortbarrow.fleet.v1.ServerLoad
+import ragwortbarrow.fleet.v1.CustomerUse as WireCustomerUse
 import ragwortbarrow.fleet.v1.Node as WireNode
 import ragwortbarrow.fleet.v1.NodeState as WireNodeState
 import ragwortbarrow.fleet.v1.Result as WireResult
@@ -21,42 +28,65 @@
 
 internal fun FleetNode.toWire(): WireNode =
     WireNode.newBuilder().setVm(vm.value).setAddress(address).setIncarnation(incarnation)
-        .setFailureDomain(failureDomain.value).build()
+        .setFailureDomain(failureDomain.value).setCapacity(capacityMillis).build()
 
-internal fun WireNode.toCore() = FleetNode(VmId(vm), address, incarnation, FailureDomainId(failureDomain))
+internal fun WireNode.toCore() = FleetNode(VmId(vm), address, incarnation, FailureDomainId(failureDomain), capacity)
+
+private fun MemberReport.toWire(): Member =
+    Member.newBuilder().setNode(node.toWire()).setAgeMillis(ageMillis).setLeaving(isLeaving).build()
+
+private fun Member.toCore() = MemberReport(node.toCore(), ageMillis, leaving)
 
 internal fun NodeState.toWire(): WireNodeState = WireNodeState.newBuilder()
     .setSender(sender.toWire())
     .setLeaving(isLeaving)
     .setConfigurationVersion(configurationVersion)
     .setServersRevision(serversRevision)
-    .addAllLoads(
-        loads.map { (server, load) ->
-            ServerLoad.newBuilder().setServer(server.value).setOnline(load.online).setBatch(load.batch).build()
-        },
-    )
+    .addAllLoads(contribution.serverLoads())
     .addAllUses(
-        admitted.map { (customer, count) ->
-            CustomerUse.newBuilder().setCustomer(customer.value).setAdmitted(count).build()
+        contribution.uses.map { (customer, use) ->
+            WireCustomerUse.newBuilder().setCustomer(customer.value)
+                .setAdmitted(use.admitted).setOffered(use.offered).build()
         },
     )
     .addAllMembers(members.map { it.toWire() })
     .addAllEndedJobs(endedJobs)
-    .addAllTakenJobs(takenJobs)
-    .addAllAcceptedJobs(acceptedJobs)
+    .addAllTakenJobs(contribution.takenJobs)
+    .addAllAcceptedJobs(
+        contribution.acceptedJobs.map { (job, holder) ->
+            AcceptedJob.newBuilder().setJob(job).setVm(holder.vm).setIncarnation(holder.incarnation).build()
+        },
+    )
+    .setRelayed(isRelayed)
+    .setUrgent(isUrgent)
+    .setPlatformAnswers(isPlatformAnswering)
     .build()
 
+private fun Contribution.serverLoads(): List<ServerLoad> = (loads.keys + outcomes.keys).map { server ->
+    val load = loads[server] ?: Occupancy()
+    val seen = outcomes[server] ?: ServerOutcomes()
+    ServerLoad.newBuilder().setServer(server.value).setOnline(load.online).setBatch(load.batch)
+        .setAnswered(seen.answered).setFailed(seen.failed).build()
+}
+
 internal fun WireNodeState.toCore() = NodeState(
     sender = sender.toCore(),
     isLeaving = leaving,
     configurationVersion = configurationVersion,
     serversRevision = serversRevision,
-    loads = loadsList.associate { BackendServerId(it.server) to Occupancy(online = it.online, batch = it.batch) },
-    admitted = usesList.associate { CustomerId(it.customer) to it.admitted },
+    contribution = Contribution(
+        loads = loadsList.associate { BackendServerId(it.server) to Occupancy(online = it.online, batch = it.batch) },
+        outcomes = loadsList.filter { it.answered + it.failed > 0 }
+            .associate { BackendServerId(it.server) to ServerOutcomes(it.answered, it.failed) },
+        uses = usesList.associate { CustomerId(it.customer) to CustomerUse(it.admitted, it.offered) },
+        takenJobs = takenJobsList.toList(),
+        acceptedJobs = acceptedJobsList.associate { it.job to JobHolder(it.vm, it.incarnation) },
+    ),
     members = membersList.map { it.toCore() },
     endedJobs = endedJobsList.toList(),
-    takenJobs = takenJobsList.toList(),
-    acceptedJobs = acceptedJobsList.toList(),
+    isRelayed = relayed,
+    isUrgent = urgent,
+    isPlatformAnswering = platformAnswers,
 )
 
 internal fun Snapshot.toWire(): WireSnapshot =
--- a/peer/src/main/kotlin/ragwortbarrow/peer/GrpcFleetPeer.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/GrpcFleetPeer.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
 import io.grpc.ManagedChannel
 import io.grpc.StatusException
 import ragwortbarrow.core.fleet.FleetConnector
@@ -13,6 +14,7 @@
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.fleet.SnapshotKind
 import ragwortbarrow.core.peer.PeerError
+import ragwortbarrow.fleet.v1.CheckJobsRequest
 import ragwortbarrow.fleet.v1.EndJobRequest
 import ragwortbarrow.fleet.v1.FleetGrpcKt.FleetCoroutineStub
 import ragwortbarrow.fleet.v1.ItemRequest
@@ -63,6 +65,9 @@
     override suspend fun endJob(job: String): Result<Boolean, PeerError> =
         call { endJob(EndJobRequest.newBuilder().setJob(job).build()).held }
 
+    override suspend fun checkJobs(jobs: List<String>): Result<Unit, PeerError> =
+        call { checkJobs(CheckJobsRequest.newBuilder().addAllJobs(jobs).build()) }.map { }
+
     private suspend fun <T> call(
         limitMillis: Long = deadlineMillis,
         rpc: suspend FleetCoroutineStub.() -> T,
