--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -29,21 +29,37 @@
             }
 
     /**
-     * How many of this node's items have to leave [server]. Nodes with items on the same server each take their part of
-     * the excess, so that they do not all give back the same slots.
+     * How many of this node's items have to leave [server]. Each node with items there takes its part of the excess, by
+     * lot where that is less than one item, so that together they give back about as many slots as are missing.
      */
     fun excess(server: BackendServer): Int {
         val load = board.occupancy(server.id)
         val own = board.ownOccupancy(server.id).batch
         val over = load.total - server.slots
         if (over <= 0 || own == 0) return 0
-        return ceil(over.toDouble() * own / load.batch).toInt().coerceAtMost(own)
+        val part = over.toDouble() * own / load.batch
+        return (part + random.nextDouble()).toInt().coerceAtMost(own)
+    }
+
+    /**
+     * How many items this node may start until it looks at the loads again. All nodes see the same spare slots, and see
+     * the items that the others start only [REPORT_PERIODS] periods later.
+     */
+    fun startShare(nodes: Int): Int {
+        val spare = board.all().sumOf { (it.slots - board.occupancy(it.id).total).coerceAtLeast(0) }
+        return (spare.toDouble() / nodes / REPORT_PERIODS * STARTING_SHARE + random.nextDouble()).toInt()
     }
 
     private fun fillLimit(server: BackendServer, slack: Slack): Int =
         (server.slots * slack.fillShare).toInt().coerceIn(1, server.slots)
 
     private companion object {
+        /** Periods of exchange that a report takes between nodes behind different relays. */
+        const val REPORT_PERIODS = 3
+
+        /** One of so many nodes has items that wait; the others leave their share unused. */
+        const val STARTING_SHARE = 2.0
+
         /** In units of a full server: a remote server is chosen when it is this much emptier than a local one. */
         const val REMOTE_PENALTY = 0.25
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -148,7 +148,7 @@
         forwarder.makeRoom = ::makeRoom
         link.membershipChanged = warden::membershipChanged
         link.refreshed = runner::refresh
-        link.loadsChanged = runner::giveBack
+        link.slotsWanted = runner::giveBackNow
         link.takenJobs = runner::takenJobs
         link.othersTook = runner::othersTook
         link.acceptedJobs = jobs::acceptedLately
@@ -171,7 +171,7 @@
     /** Learns of new seeds while it runs. */
     fun reloaded(changed: EntrySettings) {
         log.record("reloaded", "seeds" to changed.seedAddresses.joinToString(","))
-        loop.execute { changed.seedAddresses.forEach { link.contactSeed(it) } }
+        loop.execute { link.useSeeds(changed.seedAddresses) }
     }
 
     /** Ends at once: connections close, and nothing is finished or handed over. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
@@ -58,6 +58,7 @@
     private val unreachable = HashSet<VmId>()
     private val behindSinceNanos = HashMap<SnapshotKind, Long>()
     private val fetching = HashSet<SnapshotKind>()
+    private var seedAddresses = emptyList<String>()
     private var ticks = 0L
     private var newsTick = 0L
 
@@ -81,8 +82,8 @@
     /** Called with jobs that other nodes say they took over. */
     var othersTook: (jobs: List<String>) -> Unit = {}
 
-    /** Called when another node told of its loads. */
-    var loadsChanged: () -> Unit = {}
+    /** Called when another node has requests that wait for slots of batch items. */
+    var slotsWanted: () -> Unit = {}
 
     /** Whether the platform's store answers this node. */
     var isPlatformAnswering: () -> Boolean = { true }
@@ -95,12 +96,18 @@
         }
 
     fun start(seedAddresses: List<String>) {
-        seedAddresses.forEach { contactSeed(it) }
+        useSeeds(seedAddresses)
         timer.every(periodMillis) { tick() }
     }
 
-    /** Introduces this node to the one at [address], which tells of the others. */
-    fun contactSeed(address: String) {
+    /** Introduces this node to the ones at [addresses], again until any other node is heard. */
+    fun useSeeds(addresses: List<String>) {
+        seedAddresses = addresses
+        addresses.forEach { contactSeed(it) }
+    }
+
+    /** The node at [address] tells of the others. */
+    private fun contactSeed(address: String) {
         if (address == members.self.address) return
         val introduction = state(to = null).copy(isRelayed = true)
         scope.launch {
@@ -133,6 +140,7 @@
 
     private fun tick() {
         ticks++
+        if (ticks % SEEDS_EVERY == 0L && heard.isEmpty()) seedAddresses.forEach { contactSeed(it) }
         val partners = plan.partners()
         val home = plan.home()
         for (node in partners) {
@@ -209,8 +217,10 @@
         val said = state.contribution
         parts.board.peerLoads(vm, said.loads, said.outcomes)
         parts.ledger.peerReport(vm, said.uses)
-        loadsChanged()
-        if (state.isUrgent) passOnUrgency(state)
+        if (state.isUrgent) {
+            slotsWanted()
+            passOnUrgency(state)
+        }
         parts.endedJobs.learned(state.endedJobs)
         if (said.takenJobs.isNotEmpty()) othersTook(said.takenJobs)
         if (said.acceptedJobs.isNotEmpty()) othersAccepted(said.acceptedJobs)
@@ -323,6 +333,9 @@
     }
 
     private companion object {
+        /** A node that hears nobody calls its seeds again in this many periods. */
+        const val SEEDS_EVERY = 10L
+
         /** Other failure domains are told every fourth period. */
         const val FAR_EVERY = 4L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.fleet.FleetMembers
+import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.jobs.BatchJob
 import ragwortbarrow.core.jobs.ItemProgress
 import ragwortbarrow.core.jobs.JobHolder
@@ -50,6 +51,7 @@
     private val held = LinkedHashMap<String, HeldJob>()
     private var isStopping = false
     private var startsLeft = 1
+    private val settledAtNanos = HashMap<BackendServerId, Long>()
     private var runMillis = UNKNOWN_RUN_MILLIS
 
     internal fun held(id: String): HeldJob? = held[id]
@@ -118,21 +120,32 @@
 
     /** Looks at the loads again: gives slots back, then fills the spare ones. */
     fun refresh() {
-        // Other nodes see the same spare slots in the same period; each takes its share of them, some of them by lot.
-        val share = spareSlots().toDouble() / parts.members.size
-        startsLeft = (share + Random.nextDouble()).toInt()
+        startsLeft = parts.placement.startShare(parts.members.size)
         if (held.isEmpty()) return
         giveBack()
         expire()
         schedule()
     }
 
-    /** Stops items where online requests need more than the slots that batch leaves free. */
-    fun giveBack() {
-        if (held.isEmpty()) return
+    /**
+     * Stops items where online requests need more than the slots that batch leaves free. Word of it takes some time to
+     * reach all nodes, so a server where this node has stopped items is left alone meanwhile.
+     */
+    private fun giveBack() {
+        val nowNanos = timer.nanoTime()
         for (server in parts.board.all()) {
+            if (nowNanos < (settledAtNanos[server.id] ?: Long.MIN_VALUE)) continue
             val excess = parts.placement.excess(server)
-            if (excess > 0) stopItems(server, excess)
+            if (excess == 0) continue
+            settledAtNanos[server.id] = nowNanos + SETTLE_NANOS
+            stopItems(server, excess)
+        }
+    }
+
+    /** Another node has online requests that wait for slots: this one was told because it has most items there. */
+    fun giveBackNow() {
+        for (server in parts.board.all()) {
+            if (parts.board.occupancy(server.id).total > server.slots) makeRoom(server)
         }
     }
 
@@ -181,10 +194,6 @@
         return Urgency(job.job.submittedWallMillis + targetMillis - timer.wallMillis(), runMillis)
     }
 
-    private fun spareSlots() = parts.board.all().sumOf {
-        (it.slots - parts.board.occupancy(it.id).total).coerceAtLeast(0)
-    }
-
     private fun route(job: BatchJob): Route? = parts.configuration.table?.route(job.host, job.path)
 
     private fun start(job: HeldJob, progress: ItemProgress, route: Route, server: BackendServer) {
@@ -376,6 +385,9 @@
     val hasUnstored: Boolean get() = held.values.any { it.toStore.isNotEmpty() || it.isStoring }
 
     private companion object {
+        /** How long other nodes may not know yet that items were stopped. */
+        const val SETTLE_NANOS = 400_000_000L
+
         /** Results that arrive within this time share one write. */
         const val GATHER_MILLIS = 600L
 
