Tell callers to come back when a slot is expected, in fractions of a second

The caller came back in the same rise of the load, late by a second. Ruled out: letting it queue (backend servers admit in order of arrival, so it makes the next ones late too). Change: Retry-After is the expected wait, spread over half of it again.

--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -2,7 +2,6 @@
 
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.FailureDomainId
-import kotlin.math.ceil
 import kotlin.random.Random
 
 /**
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -52,8 +52,8 @@
         val expectedMillis = waitMillis + holds.firstByteMillis(request.service)
         val isLate = expectedMillis > request.targetLeftMillis * TARGET_SHARE
         val isHopeless = expectedMillis > request.deadlineLeftMillis
-        // A caller with less time than the shortest pause cannot come back, so a late answer is its only answer.
-        val canReturn = request.deadlineLeftMillis / RETRY_SHARE >= MIN_RETRY_MILLIS
+        // For a caller with little time a late answer is mostly its only answer.
+        val canReturn = request.deadlineLeftMillis / RETRY_SHARE >= RETURN_MILLIS
         return when {
             isHopeless || (isLate && canReturn && waitMillis > 0) ->
                 Placement.Full(waitMillis, retryAfterMillis(waitMillis, request))
@@ -96,16 +96,20 @@
         val known = board.known(request.service).filter { it.id !in request.except }
         val trial = known.filter { board.ownOccupancy(it.id).total == 0 }.randomOrNull(random)
         return if (trial == null || board.eligible(request.service, request.except).isNotEmpty()) {
-            Placement.NoServer(MIN_RETRY_MILLIS)
+            Placement.NoServer(RETURN_MILLIS)
         } else {
             Placement.Send(trial, 0.0)
         }
     }
 
+    /**
+     * Callers come back when room is expected, spread over half of that time again: those that were turned away together
+     * would otherwise meet again.
+     */
     private fun retryAfterMillis(waitMillis: Double, request: PlacementRequest): Long {
-        val seconds = ceil(waitMillis / MIN_RETRY_MILLIS).toLong().coerceAtLeast(1)
-        val longest = (request.deadlineLeftMillis / RETRY_SHARE).toLong()
-        return (seconds * MIN_RETRY_MILLIS).coerceAtMost(maxOf(longest, MIN_RETRY_MILLIS))
+        val spreadMillis = waitMillis * (1 + random.nextDouble() * RETURN_SPREAD)
+        val longestMillis = maxOf((request.deadlineLeftMillis / RETRY_SHARE).toLong(), MIN_RETRY_MILLIS)
+        return ceil(spreadMillis).toLong().coerceIn(MIN_RETRY_MILLIS, longestMillis)
     }
 
     private companion object {
@@ -121,8 +125,14 @@
         /** Time until a batch item has given its slot to an online request, also at the word of another node. */
         const val YIELD_MILLIS = 20.0
 
-        /** Whole seconds are what `Retry-After` can say. */
-        const val MIN_RETRY_MILLIS = 1_000L
+        /** About the time in which one of eight slots becomes free. */
+        const val MIN_RETRY_MILLIS = 100L
+
+        /** A caller that may be told to wait for this long has time to come back and be served. */
+        const val RETURN_MILLIS = 1_000L
+
+        /** Share of the expected wait over which the callers' return is spread. */
+        const val RETURN_SPREAD = 0.5
 
         /** Callers wait for at most this part of the time that they have left. */
         const val RETRY_SHARE = 3.0
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
@@ -33,6 +34,19 @@
         expectThat(placed).isA<Placement.Send>().get { server.id.value }.isEqualTo("b")
     }
 
+    /** Load pattern: a jump fills all servers; callers that are turned away come back while slots become free. */
+    @Test
+    fun `callers that are turned away come back when slots are expected and not all at once`() {
+        board.replace(listOf(server("a")))
+        holds.held(SERVICE, HOLD_MILLIS.toDouble())
+        repeat(8) { board.began(BackendServerId("a"), isBatch = false) }
+        val returns = (1..100).map {
+            (placement.place(request) as Placement.Full).retryAfterMillis
+        }
+        expectThat(returns.min()).isIn(HOLD_MILLIS..HOLD_MILLIS * 11 / 10)
+        expectThat(returns.max()).isIn(HOLD_MILLIS * 14 / 10..HOLD_MILLIS * 15 / 10)
+    }
+
     @Test
     fun `requests of other nodes count like own ones`() {
         board.replace(listOf(server("a"), server("b")))
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Refusals.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Refusals.kt
@@ -7,12 +7,12 @@
 import kotlinx.serialization.json.putJsonObject
 import ragwortbarrow.core.error.ServingError
 import ragwortbarrow.http.HttpReply
-import kotlin.math.ceil
+import java.math.BigDecimal
 
 /** Answers with an error of the system's own: its number, whether the request ran, and when to come back. */
 fun HttpReply.refuse(error: ServingError) {
     val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-    error.retryAfterMillis?.let { headers.set(HttpHeaderNames.RETRY_AFTER, ceil(it / MILLIS_PER_SECOND).toLong()) }
+    error.retryAfterMillis?.let { headers.set(HttpHeaderNames.RETRY_AFTER, seconds(it)) }
     val body = buildJsonObject {
         putJsonObject("error") {
             put("code", error.code.number)
@@ -24,4 +24,8 @@
     whole(error.code.httpStatus, headers, body.toString().encodeToByteArray())
 }
 
-private const val MILLIS_PER_SECOND = 1_000.0
+/** `Retry-After` in seconds with a fraction: whole seconds are longer than most waits for a slot. */
+internal fun seconds(millis: Long): String =
+    BigDecimal.valueOf(millis, MILLI_DIGITS).stripTrailingZeros().toPlainString()
+
+private const val MILLI_DIGITS = 3
