--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
@@ -76,7 +76,7 @@
     }
 
     companion object {
-        /** Relays of a failure domain: one may be lost and one be slow. Today's failure domains have up to three nodes. */
+        /** Relays of a failure domain: one may be lost and one be slow. Small domains have no more nodes than this. */
         const val RELAYS = 3
 
         private const val FAILURES = 2
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Callers come back when room is expected, spread over half of that time again: those that were turned away together
-     * would otherwise meet again.
+     * Callers come back when room is expected, spread over half of that time again, since those that were turned away
+     * together would otherwise meet again.
      */
     private fun retryAfterMillis(waitMillis: Double, request: PlacementRequest): Long {
         val spreadMillis = waitMillis * (1 + random.nextDouble() * RETURN_SPREAD)
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -86,8 +86,8 @@
     }
 
     /**
-     * Whether [server] failed a large part of the online requests that all nodes sent it lately, whatever it says of its
-     * health. One node sends a server too few requests to tell.
+     * Whether [server] failed a large part of the online requests that all nodes sent it lately, whatever it says of
+     * its health. One node sends a server too few requests to tell.
      */
     fun isFailing(server: BackendServerId): Boolean {
         val seen = outcomes(server)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
@@ -56,8 +56,7 @@
     private val urgentAfterCall = HashSet<VmId>()
     private val membersToldTick = HashMap<VmId, Long>()
     private val unreachable = HashSet<VmId>()
-    private val behindSinceNanos = HashMap<SnapshotKind, Long>()
-    private val fetching = HashSet<SnapshotKind>()
+    private val catchUp = PeerCatchUp(connector, parts, timer, scope, log)
     private var seedAddresses = emptyList<String>()
     private var ticks = 0L
     private var newsTick = 0L
@@ -241,8 +240,7 @@
             unreachable.removeAll { members.isReachable(it) }
             membershipChanged()
         }
-        catchUp(SnapshotKind.CONFIGURATION, state, state.configurationVersion > parts.configuration.version)
-        catchUp(SnapshotKind.SERVERS, state, state.serversRevision > parts.servers.revision)
+        catchUp.heard(state, isWatcher)
     }
 
     /**
@@ -256,36 +254,6 @@
             .forEach { pushTo(it) }
     }
 
-    /** Fetches what the platform did not tell this node. To a node that watches, its own word is mostly on its way. */
-    private fun catchUp(kind: SnapshotKind, state: NodeState, isBehind: Boolean) {
-        val nowNanos = timer.nanoTime()
-        if (!isBehind) {
-            if (kind == SnapshotKind.CONFIGURATION || state.serversRevision == parts.servers.revision) {
-                behindSinceNanos.remove(kind)
-            }
-            return
-        }
-        val since = behindSinceNanos.getOrPut(kind) { nowNanos }
-        if (isWatcher && nowNanos - since < PATIENCE_NANOS) return
-        if (!fetching.add(kind)) return
-        scope.launch {
-            try {
-                connector.connect(state.sender.address).fetchSnapshot(kind).fold(
-                    { take(kind, it, state.sender.vm) },
-                    { log.record("snapshot_failed", "kind" to kind, "vm" to state.sender.vm, "reason" to it) },
-                )
-            } finally {
-                fetching.remove(kind)
-                behindSinceNanos.remove(kind)
-            }
-        }
-    }
-
-    private fun take(kind: SnapshotKind, snapshot: Snapshot, from: VmId) = when (kind) {
-        SnapshotKind.CONFIGURATION -> parts.configuration.offer(snapshot.document, "peer $from")
-        SnapshotKind.SERVERS -> parts.servers.offer(snapshot)
-    }
-
     private fun noteSilence() {
         for (node in members.others()) {
             if (members.isReachable(node.vm) || !unreachable.add(node.vm)) continue
@@ -346,9 +314,6 @@
 
         /** What a node said counts for this long: three periods of exchange between failure domains. */
         const val CONTRIBUTION_MILLIS = 1_200L
-
-        /** How long the platform's own watch may be behind a peer before the peer is asked; the time of its own call. */
-        const val PATIENCE_NANOS = 400_000_000L
     }
 }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobWarden.kt
@@ -21,8 +21,8 @@
 
 /**
  * Gives batch jobs whose node is gone to other nodes. After each change of the membership one node, the coordinator,
- * reads the jobs and tells the nodes to which they fall; it also reminds the others of the jobs that they run. Two nodes
- * that take the same job do no harm to its results, since chunks of results are only ever created.
+ * reads the jobs and tells the nodes to which they fall; it also reminds the others of the jobs that they run. Two
+ * nodes that take the same job do no harm to its results, since chunks of results are only ever created.
  */
 class JobWarden(
     private val members: FleetMembers,
