--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -162,6 +162,7 @@
             watchers.forEach { it.start() }
             link.start(settings.seedAddresses)
             warden.start()
+            ServerBeliefs(board, timer, log).start()
             scope.launch { register() }
             timer.every(SUMMARY_MILLIS) { summarize() }
         }
