--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerBoard.kt
@@ -47,8 +47,6 @@
         heardMillis.keys.retainAll(servers.keys)
     }
 
-    fun server(id: BackendServerId): BackendServer? = servers[id]
-
     fun all(): Collection<BackendServer> = servers.values
 
     /** Bytes of an answer came from [server]. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EngineCall.kt
@@ -40,7 +40,7 @@
         val startMillis = board.began(server.id, isBatch, waitMillis)
         var connection: HttpClientConnection? = null
         try {
-            connection = pool.acquire(server.address, if (onlyFresh) FRESH_SHARE else KEPT_SHARE)
+            connection = pool.acquire(server.address, if (onlyFresh) FRESH_SHARE else HttpClientPool.KEPT_SHARE)
             val answer = connection.send(request, { board.heard(server.id) }) { protocol.belongs(it, requestId) }
             val response = withTimeoutOrNull(headLimitMillis) { answer.head() }
                 ?: throw HttpFailure.Broken("no answer within $headLimitMillis ms")
@@ -64,8 +64,7 @@
     }
 
     private companion object {
-        /** Shares of a server's keep-alive time within which a kept connection is used again. */
-        const val KEPT_SHARE = 0.8
+        /** The share of a server's keep-alive time within which a connection counts as fresh. */
         const val FRESH_SHARE = 0.5
     }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -90,7 +90,8 @@
     private val servers = ServerDirectory(this.platform::backendServer, board, timer, log)
     private val endedJobs = EndedJobs(timer)
     private val members = FleetMembers(self, timer)
-    private val connector = GrpcFleetConnector(GrpcChannels(group = group, keepAliveSeconds = PEER_PROBE_SECONDS))
+    private val channels = GrpcChannels(group = group, keepAliveSeconds = PEER_PROBE_SECONDS)
+    private val connector = GrpcFleetConnector(channels)
     private val exchange = FleetLink.Parts(board, ledger, configuration, servers, endedJobs)
     private val plan = RelayPlan(members, timer)
     private val link = FleetLink(members, plan, connector, exchange, timer, scope, log)
@@ -146,6 +147,8 @@
     fun start() {
         endedJobs.ended = { runner.end(it) }
         forwarder.makeRoom = ::makeRoom
+        servers.published = pool::retain
+        link.memberForgotten = { channels.retain(members.others().mapTo(HashSet()) { it.address }) }
         link.membershipChanged = warden::membershipChanged
         link.refreshed = runner::refresh
         link.slotsWanted = runner::giveBackNow
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetLink.kt
@@ -66,6 +66,9 @@
     /** Called when a node fell silent, left, restarted or came back. */
     var membershipChanged: () -> Unit = {}
 
+    /** Called when a member was silent for so long that it is taken as gone. */
+    var memberForgotten: () -> Unit = {}
+
     /** Called after each period. */
     var refreshed: () -> Unit = {}
 
@@ -155,6 +158,7 @@
         members.forgetLost().forEach {
             parts.ledger.forgetPeer(it.vm)
             log.record("member_forgotten", "vm" to it.vm)
+            memberForgotten()
         }
         refreshed()
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerBeliefs.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerBeliefs.kt
@@ -6,7 +6,7 @@
 import ragwortbarrow.core.placement.ServerBoard
 import ragwortbarrow.core.time.TimerService
 
-/** Logs when this node begins or ceases to take a backend server as failing or silent, at most once in a period each. */
+/** Logs when this node begins or ceases to take a backend server as failing or silent, once in a period at most. */
 internal class ServerBeliefs(
     private val board: ServerBoard,
     private val timer: TimerService,
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -26,6 +26,9 @@
     private val log: DecisionLog,
     private val returnMillis: Long = 2_200,
 ) {
+    /** Called with the addresses of all servers after each change of the list. */
+    var published: (addresses: Set<String>) -> Unit = {}
+
     private val entries = LinkedHashMap<String, StoredObject>()
     private var listings = 0
 
@@ -102,6 +105,7 @@
     private fun publish(reason: String) {
         val servers = entries.values.mapNotNull(decode)
         board.replace(servers)
+        published(servers.mapTo(HashSet()) { it.address })
         log.record(
             "backend_servers",
             "reason" to reason,
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetLinkTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetLinkTest.kt
@@ -168,6 +168,17 @@
         }
     }
 
+    @Test
+    fun `a member that is gone is told, so that its connections can be closed`() {
+        fleet(domains = 1, size = 3)
+        val (gone, node) = nodes.values.toList()
+        var forgotten = 0
+        node.link.memberForgotten = { forgotten++ }
+        gone.isAlive = false
+        timer.advance(40_000)
+        expectThat(forgotten).isEqualTo(1)
+    }
+
     /** Load pattern: all nodes start while the store is away, and the first calls find nobody. */
     @Test
     fun `nodes that know only a seed meet although the seed answers late`() {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -98,18 +98,18 @@
         continuation.invokeOnCancellation { connecting.channel().close() }
     }
 
-    private companion object {
+    companion object {
         /** The share of a server's keep-alive time within which a kept connection is used again. */
         const val KEPT_SHARE = 0.8
 
         /** Connections kept for one address; each counts towards the server's limit of connections. */
-        const val MAX_IDLE_PER_ADDRESS = 16
+        private const val MAX_IDLE_PER_ADDRESS = 16
 
         /** Seconds of silence after which TCP probes a connection, and between probes. */
-        const val KEEP_ALIVE_PROBE_SECONDS = 1
+        private const val KEEP_ALIVE_PROBE_SECONDS = 1
 
         /** Unanswered probes after which TCP resets a connection. */
-        const val KEEP_ALIVE_PROBES = 3
+        private const val KEEP_ALIVE_PROBES = 3
     }
 }
 
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
@@ -67,11 +67,6 @@
         connections.filter { it.isIdle }.forEach { it.close() }
     }
 
-    /** Stops listening. */
-    fun unbind() {
-        listener?.close()
-    }
-
     private companion object {
         const val BACKLOG = 512
     }
