--- a/core/src/main/kotlin/ragwortbarrow/core/limits/LimitSettings.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/limits/LimitSettings.kt
@@ -21,10 +21,11 @@
     /** An owner that did not answer is not asked again for this long. */
     val unreachablePauseMillis: Long = 1_000,
     /**
-     * How long a request waits for an owner to answer before it is refused; a restarted owner's shard is handed over,
-     * and a starting process warms up, well within it.
+     * How long a request waits for an owner to answer before it is refused. Handing a shard over takes up to
+     * [watchMillis] and two ticks, on processes that may have just started; below [termMillis], after which an owner
+     * that died is replaced.
      */
-    val admissionWaitMillis: Long = 2_000,
+    val admissionWaitMillis: Long = 5_000,
     /** Pause before a request asks the owners again. */
     val admissionRetryMillis: Long = 50,
     /** Settlements wait this long for the next acquire to the same owner before they are sent on their own. */
