Remove JobRunner.release, which nothing calls any more

Behaviour is unchanged. Checked: formatter and linter of all modules, tests of entry (FleetLink, ServerBeliefs, Refusals, EventSplitter).

--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -85,9 +85,6 @@
         }
     }
 
-    /** Lets go of a job that the store says another node runs. */
-    fun release(id: String, holder: JobHolder) = drop(id, holder)
-
     /**
      * Reads results that the node from which [job] was taken over may have stored since. A caller that has seen a
      * result at another node must find it here too.
@@ -373,6 +370,7 @@
         if (holder != self && held[job.job.id] === job) drop(job.job.id, holder)
     }
 
+    /** Lets go of a job that the store says another node runs. */
     private fun drop(id: String, holder: JobHolder) {
         val job = held.remove(id) ?: return
         job.isEnded = true
