Run each batch item that was started, also one that is stopped before its first step

Cause: an item's coroutine was dispatched to the event loop. If the item was preempted in the same turn, for example for an online request that found its server full, the cancelled coroutine never ran, so neither did its finally block: the item stayed in the list of running items, no server had it, and nothing would start it again. Change: the coroutine starts undispatched. Tests, both failed before: JobRunnerTest, 5 items counted as running with 4 in flight; loads 7 and 2 of 8 slots where at most 4 are allowed.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.fleet.FleetMembers
@@ -223,7 +224,9 @@
             "load" to components.tracker.occupancy(server.id).total,
             "after_event" to progress.lastEventId,
         )
-        running.job = scope.launch {
+        // Undispatched: the load counts at once for the placement of the next item, and an item that is cancelled before
+        // its first task would have run still reaches `finally`.
+        running.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
             var outcome: RunOutcome = RunOutcome.Interrupted("stopped")
             try {
                 outcome = runItem(job.job, progress, route, server)
