End stalled responses, keep slow ones, and give silent nodes time to report

Blank lines or interim responses without end before the head were never refused, and a body that was not read was buffered without bound. - A resumable stream with pauses over 600 ms was cut on its last permitted attempt too, so that a slow but sound server gave the caller nothing. - A node that was silent for 1.2 s lost its batch jobs to another node, which began the running items again. - A batch item is sent again under the same id. Ruled out by tests that passed before: a late second copy of an answer to another id reaches no caller; a truncated answer is no success. Change: a limit of bytes before the head, reading that pauses while a reader is slow, idle time counted from the last event, streams that stay where no other server has room, holders that count as failed after four seconds of silence or at once after a restart, no reuse of a connection after a failed batch run, no state read for complete jobs.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -16,6 +16,7 @@
     private val unreachableAfterMillis: Long = 1_200,
     private val relayedUnreachableAfterMillis: Long = 3_000,
     private val expireAfterMillis: Long = 30_000,
+    private val failedAfterMillis: Long = 4_000,
 ) {
     /** A member that was added without contact counts as reachable at first, until it could have responded. */
     private class Member(
@@ -57,6 +58,18 @@
         return member.node.incarnation == incarnation && isReachable(member) && !member.isLeaving
     }
 
+    /**
+     * Whether work of the process of a node with this incarnation may be given to another node: the process has ended or
+     * is leaving, or it has been silent for [failedAfterMillis]. A process that is only slow to report, or paused for a
+     * moment, keeps its work.
+     */
+    fun hasFailed(vm: VmId, incarnation: Long): Boolean {
+        if (vm == self.vm) return incarnation != self.incarnation
+        val member = members[vm] ?: return true
+        val silentMillis = timer.monotonicMillis() - member.lastContactMillis
+        return member.node.incarnation != incarnation || member.isLeaving || silentMillis > failedAfterMillis
+    }
+
     /** Adds a member that the store or a peer named; returns true if it is new. */
     fun addMember(node: FleetNode): Boolean {
         if (node.vm == self.vm) return false
--- a/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
@@ -54,4 +54,14 @@
         expectThat(members.recordContact(other, isLeaving = true)).isFalse()
         expectThat(members.mayRun(other.vm, 6)).isTrue()
     }
+
+    @Test
+    fun `a silent node has failed only after some seconds and a restarted one at once`() {
+        members.recordContact(other, isLeaving = false)
+        timer.advance(3_500)
+        expectThat(members.hasFailed(other.vm, 5)).isFalse()
+        expectThat(members.hasFailed(other.vm, 4)).isTrue()
+        timer.advance(1_000)
+        expectThat(members.hasFailed(other.vm, 5)).isTrue()
+    }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -47,13 +47,18 @@
             }
             val response = awaitHead(answer, timeouts)
             tracker.recordResponseStart(server.id)
+            val head = protocol.parseResponseHead(response)
             val result = try {
-                read(StreamingResponse(protocol.parseResponseHead(response), response, answer))
+                read(StreamingResponse(head, response, answer))
             } finally {
                 tracker.recordResponseEnd(server.id)
             }
-            pool.release(connection)
-            connection = null
+            // A batch item is sent again under the same id. A late second copy of its failure would look like the response to
+            // the next run, so a connection with a failure is not used again.
+            if (!isBatch || head.status in 200..299) {
+                pool.release(connection)
+                connection = null
+            }
             return result
         } catch (abandoned: LeftQueue) {
             tracker.recordUnanswered(server.id)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -289,7 +289,8 @@
     private suspend fun findRemoteJob(id: String): Result<RemoteJob?, StoreError> {
         val known = remoteJobs[id]
         val isHolderUsable = known != null && members.mayRun(known.holder) && !known.isHolderUnconfirmed
-        if (known != null && (isHolderUsable || !isStale(known.stateAtNanos))) return Ok(known)
+        val isComplete = known?.results?.isComplete ?: false
+        if (known != null && (isHolderUsable || isComplete || !isStale(known.stateAtNanos))) return Ok(known)
         val job = readStoredJob(id, known).getOrElse { return Err(it) } ?: return Ok(null)
         var holder = job.holder
         if (known != null || !members.mayRun(holder)) {
@@ -392,6 +393,8 @@
 private fun BatchJob.body(item: String): ByteArray? =
     items.firstOrNull { it.id == item }?.let(BatchItem::bodyBase64)?.let { Base64.getDecoder().decode(it) }
 
+internal fun FleetMembers.hasFailed(holder: JobHolder): Boolean = hasFailed(VmId(holder.vm), holder.incarnation)
+
 internal fun FleetMembers.mayRun(holder: JobHolder): Boolean = mayRun(VmId(holder.vm), holder.incarnation)
 
 private const val MAX_PAGE_BYTES = 900_000
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EventSplitter.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EventSplitter.kt
@@ -1,22 +1,27 @@
 package ragwortbarrow.entry
 
+import ragwortbarrow.http.HttpFailure
 import java.io.ByteArrayOutputStream
 
 /** A server-sent event: its bytes as received, its id, and its data lines joined by line feeds. */
 class StreamEvent(val bytes: ByteArray, val id: Long?, val data: String)
 
-/** Splits a stream of bytes into server-sent events and buffers the bytes of an incomplete event. */
-class EventSplitter {
+/**
+ * Splits a stream of bytes into server-sent events and buffers the bytes of an incomplete event, which may have up to
+ * [maxEventBytes].
+ */
+class EventSplitter(private val maxEventBytes: Int = MAX_EVENT_BYTES) {
     private var pending = ByteArrayOutputStream()
     private var atLineStart = true
 
     /** Whether bytes of an incomplete event are buffered. */
     val hasPartialEvent: Boolean get() = pending.size() > 0
 
-    /** Appends [bytes] and returns the events that they complete. */
+    /** Appends [bytes] and returns the events that they complete. Throws [HttpFailure.Broken] if one is too long. */
     fun add(bytes: ByteArray): List<StreamEvent> {
         val events = ArrayList<StreamEvent>(1)
         for (byte in bytes) {
+            if (pending.size() >= maxEventBytes) throw HttpFailure.Broken("an event exceeds $maxEventBytes bytes")
             pending.write(byte.toInt())
             when (byte) {
                 LINE_FEED -> {
@@ -46,6 +51,8 @@
     }
 
     private companion object {
+        /** An event holds a few tokens of text. */
+        const val MAX_EVENT_BYTES = 256 * 1024
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -241,27 +241,55 @@
         private suspend fun forwardStream(response: StreamingResponse): Attempt {
             val splitter = EventSplitter()
             if (!reply.isStarted) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
+            var waitingSinceNanos = timer.nanoTime()
             while (true) {
-                val bytes = nextBytes(response) ?: break
+                val bytes = nextBytes(response, waitingSinceNanos) ?: break
                 for (event in splitter.add(bytes)) {
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
                     if (!deliver(event)) return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
+                    if (event.id != null) waitingSinceNanos = timer.nanoTime()
                 }
+                val beforeNanos = timer.nanoTime()
+                reply.awaitWritable()
+                waitingSinceNanos += timer.nanoTime() - beforeNanos
             }
             if (splitter.hasPartialEvent) return Attempt.Broken("the stream ended within an event")
             reply.end()
             return Attempt.Answered(response.head.status)
         }
 
-        /** Reads the next bytes; fails on a resumable stream without data for [IDLE_LIMIT_MILLIS]. */
-        private suspend fun nextBytes(response: StreamingResponse): ByteArray? {
+        /**
+         * Reads the next bytes. A resumable stream whose last event arrived [IDLE_LIMIT_MILLIS] ago fails if it can go on
+         * at another server; otherwise a slow stream is better for the caller than none.
+         */
+        private suspend fun nextBytes(response: StreamingResponse, waitingSinceNanos: Long): ByteArray? {
             if (!route.isResumable) return response.body.next()
-            var isEnd = false
-            val bytes = withTimeoutOrNull(IDLE_LIMIT_MILLIS) { response.body.next().also { isEnd = it == null } }
-            if (bytes == null && !isEnd) throw HttpFailure.Broken("no event for $IDLE_LIMIT_MILLIS ms")
-            return bytes
+            while (true) {
+                var isEnd = false
+                val idleMillis = (timer.nanoTime() - waitingSinceNanos) / NANOS_PER_MILLI
+                val bytes = if (idleMillis >= IDLE_LIMIT_MILLIS && mayMove()) {
+                    throw HttpFailure.Broken("no event for $idleMillis ms")
+                } else {
+                    // After the limit the check repeats, since another server may become free.
+                    val waitMillis = if (idleMillis <
+                        IDLE_LIMIT_MILLIS
+                    ) {
+                        IDLE_LIMIT_MILLIS - idleMillis
+                    } else {
+                        IDLE_CHECK_MILLIS
+                    }
+                    withTimeoutOrNull(waitMillis) { response.body.next().also { isEnd = it == null } }
+                }
+                if (bytes != null || isEnd) return bytes
+            }
         }
 
+        private fun mayMove(): Boolean = possibleRuns + 1 < route.maxAttempts &&
+            components.placement.hasFreeAlternative(
+                // The first event has arrived, so the latency target no longer counts.
+                placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE),
+            )
+
         /** Sends [event] to the caller unless it already has it; false if events are missing before it. */
         private fun deliver(event: StreamEvent): Boolean {
             val last = lastEventId
@@ -319,6 +347,9 @@
         /** Idle time after which a resumable stream moves to another server; twice the pause that callers expect. */
         const val IDLE_LIMIT_MILLIS = 600L
 
+        /** Interval at which a stream that is idle beyond [IDLE_LIMIT_MILLIS] looks for another server. */
+        const val IDLE_CHECK_MILLIS = 100L
+
         const val RETRY_AFTER_MILLIS = 1_000L
         const val SERVER_ERROR = 500
         const val SERVICE_UNAVAILABLE = 503
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
@@ -86,8 +86,10 @@
             val states = jobStore.states().getOrElse { return retryLater("job states", it) }
             val open = jobs.filter { it.id !in closedJobs && isOpen(it, states[it.id] ?: JobState()) }
             val candidates = members.reachable() + members.self
-            val byNode = open.groupBy { chooseNode(it, states[it.id]?.holder ?: it.holder, candidates) }
+            val (silent, assignable) = open.partition { isSilent(states[it.id]?.holder ?: it.holder) }
+            val byNode = assignable.groupBy { chooseNode(it, states[it.id]?.holder ?: it.holder, candidates) }
             for ((node, itsJobs) in byNode) assign(node, itsJobs.map { it.id })
+            if (silent.isNotEmpty()) schedule(SILENT_RETRY_MILLIS)
         } finally {
             isReassigning = false
         }
@@ -105,6 +107,9 @@
         return false
     }
 
+    /** Whether [holder] cannot be told of its jobs now, but may still run them. */
+    private fun isSilent(holder: JobHolder) = !members.mayRun(holder) && !members.hasFailed(holder)
+
     /** The node that runs [job], or its new holder if [holder] has failed. */
     private fun chooseNode(job: BatchJob, holder: JobHolder, candidates: List<FleetNode>): FleetNode =
         candidates.firstOrNull { members.mayRun(holder) && it.vm.value == holder.vm }
@@ -139,7 +144,11 @@
         val job = jobStore.job(id).getOrElse { return Err(it) }
         val state = jobStore.state(id).getOrElse { return Err(it) }
         val holder = state.holder ?: job.holder
-        if (!isOpen(job, state) || (holder != self && members.mayRun(holder))) return Ok(Unit)
+        if (!isOpen(job, state)) return Ok(Unit)
+        if (holder != self && !members.hasFailed(holder)) {
+            if (isSilent(holder)) timer.once(SILENT_RETRY_MILLIS) { scope.launch { ensureRunning(listOf(id)) } }
+            return Ok(Unit)
+        }
         return takeOver(job, holder)
     }
 
@@ -172,6 +181,9 @@
 
         const val RETRY_MILLIS = 1_000L
 
+        /** Half of the time after which a silent holder has failed, since each check reads the jobs from the store. */
+        const val SILENT_RETRY_MILLIS = 2_000L
+
         /** Longer than most partitions separate a node from the majority, shorter than a job's completion target. */
         const val PARTITION_WAIT_MILLIS = 6_000L
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -262,7 +262,7 @@
             val status = response.head.status
             when {
                 response.head.isNotRun -> {
-                    response.body.rest(MAX_ERROR_BYTES)
+                    skipBody(response)
                     components.tracker.block(server.id, FULL_SERVER_PAUSE_MILLIS)
                     RunOutcome.Interrupted("server answered $status, not run")
                 }
@@ -274,7 +274,7 @@
                 }
                 status in 200..299 -> throw HttpFailure.Broken("the answer bears no stamp")
                 else -> {
-                    response.body.rest(MAX_ERROR_BYTES)
+                    skipBody(response)
                     when (status) {
                         UNPROCESSABLE -> RunOutcome.Impossible
                         INTERNAL_ERROR -> RunOutcome.Failed
@@ -287,16 +287,28 @@
 
     private fun millisSince(nanos: Long) = (timer.nanoTime() - nanos) / NANOS_PER_MILLI.toDouble()
 
+    /** Reads the body of an error to its end, so that the connection can be reused. */
+    private suspend fun skipBody(response: StreamingResponse) {
+        withTimeoutOrNull(IDLE_LIMIT_MILLIS) { response.body.rest(MAX_ERROR_BYTES) }
+            ?: throw HttpFailure.Broken("the body of an error lasts longer than $IDLE_LIMIT_MILLIS ms")
+    }
+
     private suspend fun readStream(response: StreamingResponse, progress: ItemProgress): RunOutcome {
         val splitter = EventSplitter()
+        var lastEventNanos = timer.nanoTime()
         while (true) {
             var isEnd = false
-            val bytes = withTimeoutOrNull(IDLE_LIMIT_MILLIS) { response.body.next().also { isEnd = it == null } }
+            // Measured from the last event: a server that is stuck may still send bytes.
+            val idleMillis = (timer.nanoTime() - lastEventNanos) / NANOS_PER_MILLI
+            val bytes = withTimeoutOrNull(IDLE_LIMIT_MILLIS - idleMillis) {
+                response.body.next().also { isEnd = it == null }
+            }
             if (isEnd) break
             if (bytes == null) throw HttpFailure.Broken("no event for $IDLE_LIMIT_MILLIS ms")
             for (event in splitter.add(bytes)) {
                 val id = event.id ?: continue
                 if (!progress.appendEvent(id, event.data)) throw HttpFailure.Broken("events before $id are missing")
+                lastEventNanos = timer.nanoTime()
             }
         }
         if (splitter.hasPartialEvent) throw HttpFailure.Broken("the stream ended within an event")
--- /dev/null
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobFailoverTest.kt
@@ -0,0 +1,95 @@
+package ragwortbarrow.entry
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.launch
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.fleet.FleetNode
+import ragwortbarrow.core.fleet.RelayPlan
+import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.peer.PeerError
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+/** Three nodes, of which the second one holds a job and this one is the coordinator. */
+class JobFailoverTest {
+    private val fixture = JobRunnerFixture()
+    private val timer = fixture.timer
+    private val holder = node(2)
+    private val other = node(3)
+    private val failover = JobFailover(
+        fixture.members,
+        RelayPlan(fixture.members, timer),
+        { address -> AssignedPeer(address) },
+        fixture.jobStore,
+        fixture.runner,
+        timer,
+        fixture.scope,
+        DecisionLog.NONE,
+    )
+
+    private val toldAddresses = ArrayList<String>()
+    private val isTakenOver get() = fixture.runner.activeJob("job") != null || other.address in toldAddresses
+
+    private inner class AssignedPeer(private val address: String) : UnusedPeer() {
+        override suspend fun checkJobs(jobs: List<String>): Result<Unit, PeerError> {
+            toldAddresses += address
+            return Ok(Unit)
+        }
+    }
+
+    private fun node(number: Int) =
+        FleetNode(VmId("vm-$number"), "127.0.0.1:$number", incarnation = 5, FailureDomainId("dalton"))
+
+    init {
+        fixture.scope.launch { fixture.jobStore.create(fixture.job(items = 4, holder = holder)) }
+        listOf(holder, other).forEach { fixture.members.recordContact(it, isLeaving = false) }
+        fixture.dispatcher.runQueued()
+    }
+
+    @AfterEach
+    fun close() = fixture.close()
+
+    /** Advances time; the other node reports all the while, the holder only if [isHolderHeard]. */
+    private fun advance(millis: Int, isHolderHeard: Boolean) = repeat(millis / STEP_MILLIS) {
+        timer.advance(STEP_MILLIS.toLong())
+        fixture.members.recordContact(other, isLeaving = false)
+        if (isHolderHeard) fixture.members.recordContact(holder, isLeaving = false)
+        fixture.dispatcher.runQueued()
+    }
+
+    /** A pause of its process, or a lossy link, keeps a node from reporting for a few seconds. */
+    @Test
+    fun `the jobs of a node that is silent for three seconds stay with it`() {
+        failover.onMembershipChange()
+        advance(millis = 3_000, isHolderHeard = false)
+        failover.onMembershipChange()
+        advance(millis = 800, isHolderHeard = false)
+        advance(millis = 5_000, isHolderHeard = true)
+        expectThat(isTakenOver).isFalse()
+    }
+
+    @Test
+    fun `the jobs of a node that stays silent are taken over without another change of the membership`() {
+        advance(millis = 1_300, isHolderHeard = false)
+        failover.onMembershipChange()
+        advance(millis = 6_000, isHolderHeard = false)
+        expectThat(isTakenOver).isTrue()
+    }
+
+    @Test
+    fun `the jobs of a node that has restarted are taken over at once`() {
+        fixture.members.recordContact(holder.copy(incarnation = 6), isLeaving = false)
+        failover.onMembershipChange()
+        advance(millis = 1_000, isHolderHeard = false)
+        expectThat(isTakenOver).isTrue()
+    }
+
+    private companion object {
+        const val STEP_MILLIS = 100
+    }
+}
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -2,25 +2,53 @@
 
 import io.netty.handler.codec.http.HttpResponse
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.channels.Channel
 
 /**
  * The response to one request, readable while it arrives. Responses on the connection for which [isExpected] is false
- * belong to other requests and are discarded.
+ * belong to other requests and are discarded. While many bytes wait for the reader, [setReading] stops the connection from
+ * reading more, so that a server that sends faster than its response is read does not fill the memory. Confined to the
+ * event loop of the connection.
  */
 class HttpAnswer internal constructor(
     private val onProgress: () -> Unit,
     internal val isExpected: (HttpResponse) -> Boolean,
+    private val setReading: (Boolean) -> Unit,
 ) {
     private val head = CompletableDeferred<HttpResponse>()
-    private val chunks = Channel<ByteArray>(Channel.UNLIMITED)
+    private val chunks = ArrayDeque<ByteArray>()
+    private var isEnded = false
+    private var failure: HttpFailure.Broken? = null
+    private var changed = CompletableDeferred<Unit>()
+    private var waitingBytes = 0
+    private var isReading = true
+
+    internal val hasHead: Boolean get() = head.isCompleted
 
     /** Waits for the status and headers. Throws [HttpFailure.Broken] if the connection fails before they arrive. */
     suspend fun head(): HttpResponse = head.await()
 
-    /** Returns the next bytes of the body, or null at its end. Throws [HttpFailure.Broken] if it is truncated. */
-    suspend fun next(): ByteArray? = chunks.receiveCatching().let { received ->
-        received.getOrNull() ?: received.exceptionOrNull()?.let { throw it }
+    /**
+     * Returns the next bytes of the body, or null at its end. Throws [HttpFailure.Broken] if it is truncated. No bytes are
+     * lost if the call is cancelled.
+     */
+    suspend fun next(): ByteArray? {
+        while (true) {
+            chunks.removeFirstOrNull()?.let {
+                adjustWaiting(-it.size)
+                return it
+            }
+            failure?.let { throw it }
+            if (isEnded) return null
+            changed.await()
+        }
+    }
+
+    private fun adjustWaiting(bytes: Int) {
+        waitingBytes += bytes
+        val shouldRead = if (isReading) waitingBytes < MAX_WAITING_BYTES else waitingBytes <= RESUME_WAITING_BYTES
+        if (shouldRead == isReading) return
+        isReading = shouldRead
+        setReading(shouldRead)
     }
 
     /** Reads the rest of the body. Throws [HttpFailure.Broken] if it is truncated or exceeds [limitBytes]. */
@@ -50,15 +78,30 @@
 
     internal fun onBytes(bytes: ByteArray) {
         onProgress()
-        chunks.trySend(bytes)
+        adjustWaiting(bytes.size)
+        chunks += bytes
+        signalChange()
     }
 
     internal fun onEnd() {
-        chunks.close()
+        isEnded = true
+        signalChange()
     }
 
     internal fun onBroken(failure: HttpFailure.Broken) {
         head.completeExceptionally(failure)
-        chunks.close(failure)
+        this.failure = failure
+        signalChange()
+    }
+
+    private fun signalChange() {
+        changed.complete(Unit)
+        changed = CompletableDeferred()
+    }
+
+    private companion object {
+        /** Many times the largest event of a stream; a node has up to some hundred responses in progress. */
+        const val MAX_WAITING_BYTES = 256 * 1024
+        const val RESUME_WAITING_BYTES = 64 * 1024
     }
 }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -1,9 +1,11 @@
 package ragwortbarrow.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
@@ -14,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
 
 /**
  * A client connection that carries one request at a time. Data that arrives while no request is pending closes the
@@ -25,6 +28,7 @@
     private var keepAliveSeconds: Long? = null
     private var closeAfterResponse = false
     private var isRequestWritten = false
+    private var bytesBeforeHead = 0
 
     /** Monotonic time at which the connection became idle. */
     internal var idleSinceNanos = 0L
@@ -43,8 +47,9 @@
         onProgress: () -> Unit = {},
         isExpected: (HttpResponse) -> Boolean = { true },
     ): HttpAnswer {
-        val pending = HttpAnswer(onProgress, isExpected)
+        val pending = HttpAnswer(onProgress, isExpected) { channel.config().isAutoRead = it }
         answer = pending
+        bytesBeforeHead = 0
         isRequestWritten = false
         closeAfterResponse = false
         val body = Unpooled.wrappedBuffer(request.body)
@@ -67,12 +72,34 @@
     internal val isReusable: Boolean
         get() = isOpen && answer == null && !closeAfterResponse && isRequestWritten
 
+    private fun fail(reason: String) {
+        val current = answer
+        answer = null
+        channel.close()
+        current?.onBroken(HttpFailure.Broken(reason))
+    }
+
+    /** Closes the connection if a server sends bytes without end before the head of the expected response. */
+    internal inner class HeadSizeLimiter : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (answer?.hasHead == false && message is ByteBuf) {
+                bytesBeforeHead += message.readableBytes()
+                if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
+                    ReferenceCountUtil.release(message)
+                    fail("no head of the response within $MAX_BYTES_BEFORE_HEAD bytes")
+                    return
+                }
+            }
+            context.fireChannelRead(message)
+        }
+    }
+
     internal inner class Handler : SimpleChannelInboundHandler<HttpObject>() {
         override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
             val current = answer
             when {
                 current == null -> context.close()
-                message.decoderResult().isFailure -> fail("the response is not valid HTTP", context)
+                message.decoderResult().isFailure -> fail("the response is not valid HTTP")
                 else -> {
                     if (message is HttpResponse) onHead(current, message)
                     if (message is HttpContent && answer != null) onContent(current, message)
@@ -102,22 +129,18 @@
             }
         }
 
-        override fun channelInactive(context: ChannelHandlerContext) = fail("the connection was closed", context)
+        override fun channelInactive(context: ChannelHandlerContext) = fail("the connection was closed")
 
         @Deprecated("deprecated in ChannelHandler, but not in ChannelInboundHandler")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
-            fail("the connection failed: ${cause.message}", context)
-
-        private fun fail(reason: String, context: ChannelHandlerContext) {
-            val current = answer
-            answer = null
-            context.close()
-            current?.onBroken(HttpFailure.Broken(reason))
-        }
+            fail("the connection failed: ${cause.message}")
     }
 
     private companion object {
         /** Used when a server sends no keep-alive timeout; common server defaults start at 5 s. */
         const val DEFAULT_KEEP_ALIVE_SECONDS = 4L
+
+        /** Room for a late response to another request, which is skipped, and for the head. */
+        const val MAX_BYTES_BEFORE_HEAD = 1024 * 1024
     }
 }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -80,7 +80,12 @@
                 override fun initChannel(channel: Channel) {
                     val created = HttpClientConnection(channel, address)
                     connection = created
-                    channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder(), created.Handler())
+                    channel.pipeline().addLast(
+                        created.HeadSizeLimiter(),
+                        HttpRequestEncoder(),
+                        HttpResponseDecoder(),
+                        created.Handler(),
+                    )
                 }
             })
         val connectFuture = bootstrap.connect(socketAddress(address))
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpReply.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpReply.kt
@@ -16,6 +16,9 @@
 
     fun bytes(bytes: ByteArray)
 
+    /** Waits while the caller has not yet taken most of what was sent, so that a slow caller does not fill the memory. */
+    suspend fun awaitWritable()
+
     fun end()
 
     /** Closes the connection, so that the caller cannot mistake a partial response for a complete one. */
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.Future
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -44,6 +45,7 @@
     private var handlerJob: Job? = null
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
+    private var writable = CompletableDeferred<Unit>()
 
     /** Whether no request is being read, handled or queued. */
     val isIdle: Boolean get() = requestHead == null && handlerJob == null && queuedRequests.isEmpty()
@@ -62,6 +64,12 @@
         }
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (!channel.isWritable) return
+        writable.complete(Unit)
+        writable = CompletableDeferred()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         timeout?.cancel(false)
         queuedRequests.clear()
@@ -180,6 +188,10 @@
             channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         }
 
+        override suspend fun awaitWritable() {
+            while (channel.isActive && !channel.isWritable) writable.await()
+        }
+
         override fun end() {
             isFinished = true
             closeIfRequested(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
--- /dev/null
+++ b/http/src/test/kotlin/ragwortbarrow/http/FaultyResponseTest.kt
@@ -0,0 +1,156 @@
+package ragwortbarrow.http
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectCatching
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFailure
+import strikt.assertions.isLessThan
+import java.io.IOException
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+
+/** Servers that send bytes without end, before the head of a response or in its body. */
+class FaultyResponseTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val sockets = ArrayList<ServerSocket>()
+    private val sentBytes = AtomicLong()
+
+    @AfterEach
+    fun close() {
+        sockets.forEach { it.close() }
+        group.shutdownGracefully()
+    }
+
+    /** Starts a server that answers the first request on each connection with [first] and then repeats [endless]. */
+    private fun serve(first: String, endless: String): String {
+        val socket = ServerSocket(0, 8, InetAddress.getLoopbackAddress()).also { sockets += it }
+        thread(isDaemon = true) {
+            while (true) {
+                val connection = try {
+                    socket.accept()
+                } catch (closed: IOException) {
+                    break
+                }
+                thread(isDaemon = true) {
+                    connection.use {
+                        it.getInputStream().read(ByteArray(4_096))
+                        sendUntilClosed(it.getOutputStream(), first, endless)
+                    }
+                }
+            }
+        }
+        return "127.0.0.1:${socket.localPort}"
+    }
+
+    private fun sendUntilClosed(output: OutputStream, first: String, endless: String) {
+        val block = endless.repeat(BLOCK_BYTES / endless.length + 1).encodeToByteArray()
+        try {
+            output.write(first.encodeToByteArray())
+            while (true) {
+                output.write(block)
+                sentBytes.addAndGet(block.size.toLong())
+            }
+        } catch (closed: IOException) {
+            // The client has closed the connection, as it should.
+        }
+    }
+
+    private fun <T> call(
+        address: String,
+        isExpected: (HttpResponse) -> Boolean = { true },
+        read: suspend (HttpAnswer) -> T,
+    ): T = runBlocking {
+        withContext(loop.asCoroutineDispatcher()) {
+            withTimeout(LIMIT_MILLIS) {
+                val connection = HttpClientPool(loop).acquire(address)
+                val request = HttpRequestMessage("GET", "/", DefaultHttpHeaders(), ByteArray(0))
+                try {
+                    read(connection.send(request, isExpected = isExpected))
+                } finally {
+                    connection.close()
+                }
+            }
+        }
+    }
+
+    private fun expectBroken(first: String, endless: String, isExpected: (HttpResponse) -> Boolean = { true }) {
+        val address = serve(first, endless)
+        expectCatching { call(address, isExpected) { it.head() } }.isFailure().isA<HttpFailure.Broken>()
+    }
+
+    @Test
+    fun `a head without end fails the request`() {
+        expectBroken("HTTP/1.1 200 OK\r\n", "X-Filler: 1\r\n")
+    }
+
+    @Test
+    fun `blank lines without end before the head fail the request`() {
+        expectBroken("", "\r\n")
+    }
+
+    @Test
+    fun `interim responses without end fail the request`() {
+        expectBroken("", "HTTP/1.1 102 Processing\r\n\r\n")
+    }
+
+    @Test
+    fun `a response to another request that has no end fails the request`() {
+        expectBroken("HTTP/1.1 200 OK\r\n\r\n", "x", isExpected = { false })
+    }
+
+    @Test
+    fun `a body without end fails at the limit of its reader`() {
+        val address = serve("HTTP/1.1 200 OK\r\n\r\n", "x")
+        expectCatching { call(address) { it.rest(limitBytes = 1_000_000) } }.isFailure().isA<HttpFailure.Broken>()
+    }
+
+    /** A caller on a slow link takes the events of a stream more slowly than its server sends them. */
+    @Test
+    fun `a body that is not read stops the server instead of filling the memory`() {
+        val address = serve("HTTP/1.1 200 OK\r\n\r\n", "x")
+        expectCatching {
+            call(address) {
+                it.head()
+                delay(LIMIT_MILLIS * 2)
+            }
+        }.isFailure().isA<TimeoutCancellationException>()
+        expectThat(sentBytes.get()).isLessThan(SOCKET_BUFFERS_BYTES)
+    }
+
+    @Test
+    fun `a body is read whole although its reader pauses the server`() {
+        val length = 3_000_000
+        val address = serve("HTTP/1.1 200 OK\r\nContent-Length: $length\r\n\r\n", "x")
+        val size = call(address) { answer ->
+            var size = 0
+            while (true) size += (answer.next() ?: break).size.also { delay(1) }
+            size
+        }
+        expectThat(size).isEqualTo(length)
+    }
+
+    private companion object {
+        const val LIMIT_MILLIS = 5_000L
+        const val BLOCK_BYTES = 16_384
+
+        /** What the operating system may buffer for a connection on loopback; a server sends far more in five seconds. */
+        const val SOCKET_BUFFERS_BYTES = 32_000_000L
+    }
+}
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -53,6 +53,15 @@
     /** Sends a complete response to a different request first, then the correct one. */
     data class Crossed(val body: String) : RunnerBehaviour
 
+    /**
+     * A complete response that is sent again on the same connection when the next request has arrived there, before the
+     * response to that one.
+     */
+    data class LateCopy(val body: String, val status: Int = 200) : RunnerBehaviour
+
+    /** A stream of [events] events that then sends only comment bytes, one every [gapMillis], and never ends. */
+    data class Stuck(val events: Int, val gapMillis: Long = 50) : RunnerBehaviour
+
     /** A successful response without the `X-Server-Stamp` header. */
     data class Unstamped(val body: String) : RunnerBehaviour
 
@@ -104,12 +113,25 @@
     }
 
     private fun serveRequests(input: InputStream, output: OutputStream) {
+        var lateCopy: String? = null
         while (true) {
             val request = readRequest(input) ?: return
-            if (!respond(request, output)) return
+            lateCopy?.let { output.send(it) }
+            val behaviour = if (isMisdirected(request)) null else nextBehaviour(request)
+            if (!respond(request, behaviour, output)) return
+            lateCopy = (behaviour as? RunnerBehaviour.LateCopy)?.let { completeResponse(request, it.status, it.body) }
         }
     }
 
+    private fun isMisdirected(request: RunnerRequest) = request.header("X-Expect-Instance").let {
+        it != null && it != id
+    }
+
+    private fun nextBehaviour(request: RunnerRequest): RunnerBehaviour {
+        val next = if (upcoming.size > 1) upcoming.remove() else upcoming.peek()
+        return if (next is RunnerBehaviour.Chosen) next.choose(request) else next
+    }
+
     private fun readRequest(input: InputStream): RunnerRequest? {
         val first = readLine(input) ?: return null
         val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
@@ -128,17 +150,17 @@
         }
     }
 
-    /** Sends the response and returns whether the connection stays open. */
-    private fun respond(request: RunnerRequest, output: OutputStream): Boolean {
-        if (request.header("X-Expect-Instance").let { it != null && it != id }) {
+    /** Sends the response and returns whether the connection stays open; [behaviour] is null for another server's request. */
+    private fun respond(request: RunnerRequest, behaviour: RunnerBehaviour?, output: OutputStream): Boolean {
+        if (behaviour == null) {
             output.send("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: $id\r\nContent-Length: 0\r\n\r\n")
             return true
         }
-        val next = if (upcoming.size > 1) upcoming.remove() else upcoming.peek()
-        val behaviour = if (next is RunnerBehaviour.Chosen) next.choose(request) else next
         if (behaviour != RunnerBehaviour.Full) ran += request
         when (behaviour) {
             is RunnerBehaviour.Plain -> output.send(completeResponse(request, behaviour.status, behaviour.body))
+            is RunnerBehaviour.LateCopy -> output.send(completeResponse(request, behaviour.status, behaviour.body))
+            is RunnerBehaviour.Stuck -> sendStuckStream(request, behaviour, output)
             is RunnerBehaviour.Slow -> {
                 LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
                 output.send(completeResponse(request, 200, behaviour.body))
@@ -158,23 +180,35 @@
                 output.send(completeResponse(request, 200, behaviour.body).dropLast(1))
                 return false
             }
-            RunnerBehaviour.NoResponse, is RunnerBehaviour.Chosen, null -> return false
+            RunnerBehaviour.NoResponse, is RunnerBehaviour.Chosen -> return false
         }
         return true
     }
 
+    private fun sendStuckStream(request: RunnerRequest, behaviour: RunnerBehaviour.Stuck, output: OutputStream) {
+        output.send(streamHead(request))
+        for (event in 1..behaviour.events) output.sendChunk("id: $event\ndata: piece $event\n\n")
+        output.sendChunk(":")
+        while (true) {
+            LockSupport.parkNanos(behaviour.gapMillis * 1_000_000)
+            output.sendChunk("x")
+        }
+    }
+
+    private fun streamHead(request: RunnerRequest) =
+        "HTTP/1.1 200 OK\r\n${echo(request)}X-Server-Stamp: stamp-$id\r\nContent-Type: text/event-stream\r\n" +
+            "Transfer-Encoding: chunked\r\n\r\n"
+
     private fun stream(request: RunnerRequest, behaviour: RunnerBehaviour.Stream, output: OutputStream): Boolean {
         LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
-        val head = "HTTP/1.1 200 OK\r\n${echo(request)}X-Server-Stamp: stamp-$id\r\nContent-Type: text/event-stream\r\n"
-        output.send(head + "Transfer-Encoding: chunked\r\n\r\n")
+        output.send(streamHead(request))
         val first = (request.header("Last-Event-Id")?.toInt() ?: 0) + 1
         for ((index, event) in (first..behaviour.events).withIndex()) {
             if (index == behaviour.breakAfter) {
                 output.send("9\r\nid: $event\n".take(PARTIAL_EVENT_BYTES))
                 return false
             }
-            val text = "id: $event\ndata: piece $event\n\n"
-            output.send("${text.length.toString(HEX)}\r\n$text\r\n")
+            output.sendChunk("id: $event\ndata: piece $event\n\n")
             if (behaviour.gapMillis >
                 0
             ) {
@@ -193,6 +227,8 @@
 
     private fun echo(request: RunnerRequest) = "X-Request-Id: ${request.header("X-Request-Id")}\r\n"
 
+    private fun OutputStream.sendChunk(text: String) = send("${text.length.toString(HEX)}\r\n$text\r\n")
+
     private fun OutputStream.send(text: String) {
         write(text.encodeToByteArray())
         flush()
