Exchange states less often in large fleets

Of the calls between nodes of a fleet of 80 half are those of nodes with their relays, every 200 ms. Ruled out: fewer exchanges between relays, whose reports are already up to 400 ms old. Change: in fleets of more than 24 nodes these exchanges too are 400 ms apart; slots that are dealt to nodes do not need fresher loads.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -151,7 +151,7 @@
             // Traffic between failure domains costs more, and most requests are placed within one.
             val periods = when {
                 isQuiet -> QUIET_PERIODS
-                node.failureDomain == members.self.failureDomain -> NEAR_PERIODS
+                node.failureDomain == members.self.failureDomain && members.size <= SMALL_FLEET_NODES -> NEAR_PERIODS
                 else -> FAR_PERIODS
             }
             if (ticks % periods != 0L && members.isReachable(node.vm)) continue
@@ -330,7 +330,10 @@
          */
         const val NEAR_PERIODS = 2L
 
-        /** Periods between two exchanges with another failure domain. */
+        /** In larger fleets most exchanges would be those of nodes with their relays, at [NEAR_PERIODS]. */
+        const val SMALL_FLEET_NODES = 24
+
+        /** Periods between two exchanges with another failure domain, and between any two nodes of a large fleet. */
         const val FAR_PERIODS = 4L
 
         /** Periods between two exchanges while the fleet is idle; two of them are shorter than the time to silence. */
