Keep connections that were just accepted through a planned stop

Cause: a node that stops closes idle connections every 100 ms from 2.5 s after SIGTERM on, and one that was accepted a moment ago, with its request on the way, counted as idle. Found by a test with eight callers on new connections: some got no answer. Change: only connections that have been unused for 500 ms are closed. EntryNode.close releases its HTTP ports, which stayed bound in tests.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -191,6 +191,8 @@
     /** Stops immediately: closes connections without finishing requests or handing over jobs. */
     fun close() {
         scope.cancel()
+        callerServer.close()
+        healthServer.close()
         peerServer.stop(limitMillis = 0)
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
     }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
@@ -57,17 +57,29 @@
     /** The bound port. */
     val port: Int get() = (listener?.localAddress() as InetSocketAddress).port
 
+    /** Releases the address and closes all connections, also those with a request in progress. */
+    fun close() {
+        listener?.close()?.syncUninterruptibly()
+        loop.execute { connections.toList().forEach { it.close() } }
+    }
+
     /** Adds `Connection: close` to all further responses. Idle connections stay open until [closeIdle]. */
     fun startClosing() {
         isClosing = true
     }
 
-    /** Closes the connections that have no request in progress. */
+    /**
+     * Closes the connections that have had no request in progress for [IDLE_BEFORE_CLOSE_MILLIS]. The request of a
+     * connection that was just accepted may be on its way.
+     */
     fun closeIdle() {
-        connections.filter { it.isIdle }.forEach { it.close() }
+        connections.filter { it.isIdle && it.idleMillis >= IDLE_BEFORE_CLOSE_MILLIS }.forEach { it.close() }
     }
 
     private companion object {
+        /** Callers send their request as soon as a connection is established. */
+        const val IDLE_BEFORE_CLOSE_MILLIS = 500L
+
         const val BACKLOG = 512
     }
 }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -29,6 +29,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
+import ragwortbarrow.core.time.NANOS_PER_MILLI
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 
@@ -45,11 +46,15 @@
     private var handlerJob: Job? = null
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
+    private var lastUseNanos = System.nanoTime()
     private var writable = CompletableDeferred<Unit>()
 
     /** Whether no request is being read, handled or queued. */
     val isIdle: Boolean get() = requestHead == null && handlerJob == null && queuedRequests.isEmpty()
 
+    /** Time since the connection was accepted or since its last response was sent. */
+    val idleMillis: Long get() = (System.nanoTime() - lastUseNanos) / NANOS_PER_MILLI
+
     fun close() {
         channel.close()
     }
@@ -138,6 +143,7 @@
         handlerJob = job
         job.invokeOnCompletion {
             handlerJob = null
+            lastUseNanos = System.nanoTime()
             if (channel.isActive) runNext()
         }
     }
