Take back the longer exchange interval of large fleets

Cause: with 400 ms between a node and its relay a report takes up to 1.2 s. Tests of rates are as they were. Conclusion: the exchange has to cost less per call, not to come less often; the idle interval and the callbacks stay.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -59,9 +59,9 @@
     }
 
     /**
-     * Whether work of the process of a node with this incarnation may be given to another node: the process has ended or
-     * is leaving, or it has been silent for [failedAfterMillis]. A process that is only slow to report, or paused for a
-     * moment, keeps its work.
+     * Whether another node may take over the work of the process with this incarnation: it has ended or is leaving, or
+     * it has been silent for [failedAfterMillis]. A process that is only slow to report, or paused for a moment, keeps
+     * its work.
      */
     fun hasFailed(vm: VmId, incarnation: Long): Boolean {
         if (vm == self.vm) return incarnation != self.incarnation
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -53,8 +53,8 @@
             } finally {
                 tracker.recordResponseEnd(server.id)
             }
-            // A batch item is sent again under the same id. A late second copy of its failure would look like the response to
-            // the next run, so a connection with a failure is not used again.
+            // A batch item is sent again under the same id. A late second copy of its failure would look like the
+            // response to the next run, so a connection with a failure is not used again.
             if (!isBatch || head.status in 200..299) {
                 pool.release(connection)
                 connection = null
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -288,9 +288,7 @@
     /** Finds the holder of a job that this node does not run; null if there is no such job. */
     private suspend fun findRemoteJob(id: String): Result<RemoteJob?, StoreError> {
         val known = remoteJobs[id]
-        val isHolderUsable = known != null && members.mayRun(known.holder) && !known.isHolderUnconfirmed
-        val isComplete = known?.results?.isComplete ?: false
-        if (known != null && (isHolderUsable || isComplete || !isStale(known.stateAtNanos))) return Ok(known)
+        if (known != null && isCurrent(known)) return Ok(known)
         val job = readStoredJob(id, known).getOrElse { return Err(it) } ?: return Ok(null)
         var holder = job.holder
         if (known != null || !members.mayRun(holder)) {
@@ -305,6 +303,13 @@
         return Ok(remote)
     }
 
+    /** Whether [job] can be used without reading its state again: nothing changes once all results are known. */
+    private fun isCurrent(job: RemoteJob): Boolean {
+        if (job.results?.isComplete == true) return true
+        val isHolderUsable = members.mayRun(job.holder) && !job.isHolderUnconfirmed
+        return isHolderUsable || !isStale(job.stateAtNanos)
+    }
+
     private suspend fun <T> callHolder(
         job: String,
         remote: RemoteJob,
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -148,12 +148,7 @@
         val relay = plan.ownRelay()
         val isQuiet = isQuiet()
         for (node in peers) {
-            // Traffic between failure domains costs more, and most requests are placed within one.
-            val periods = when {
-                isQuiet -> QUIET_PERIODS
-                node.failureDomain == members.self.failureDomain && members.size <= SMALL_FLEET_NODES -> NEAR_PERIODS
-                else -> FAR_PERIODS
-            }
+            val periods = if (isQuiet) QUIET_PERIODS else busyPeriods(node)
             if (ticks % periods != 0L && members.isReachable(node.vm)) continue
             val isCaller = node == relay || members.self.vm.value < node.vm.value
             // Normally one side calls. The other one calls too if it receives nothing: a partition may be one-way.
@@ -170,6 +165,10 @@
         onPeriodEnd()
     }
 
+    /** Traffic between failure domains costs more, and most requests are placed within one. */
+    private fun busyPeriods(node: FleetNode): Long =
+        if (node.failureDomain == members.self.failureDomain) NEAR_PERIODS else FAR_PERIODS
+
     /** Whether no known node has requests at servers, so that loads need not be fresh. */
     private fun isQuiet(): Boolean =
         shared.tracker.localLoads().isEmpty() && peerStates.values.all { it.state.activity.loads.isEmpty() }
@@ -330,10 +329,7 @@
          */
         const val NEAR_PERIODS = 2L
 
-        /** In larger fleets most exchanges would be those of nodes with their relays, at [NEAR_PERIODS]. */
-        const val SMALL_FLEET_NODES = 24
-
-        /** Periods between two exchanges with another failure domain, and between any two nodes of a large fleet. */
+        /** Periods between two exchanges with another failure domain. */
         const val FAR_PERIODS = 4L
 
         /** Periods between two exchanges while the fleet is idle; two of them are shorter than the time to silence. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -259,8 +259,8 @@
         }
 
         /**
-         * Reads the next bytes. A resumable stream whose last event arrived [IDLE_LIMIT_MILLIS] ago fails if it can go on
-         * at another server; otherwise a slow stream is better for the caller than none.
+         * Reads the next bytes. A resumable stream whose last event arrived [IDLE_LIMIT_MILLIS] ago fails if it can
+         * go on at another server; otherwise a slow stream is better for the caller than none.
          */
         private suspend fun nextBytes(response: StreamingResponse, waitingSinceNanos: Long): ByteArray? {
             if (!route.isResumable) return response.body.next()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -132,10 +132,10 @@
     }
 
     /**
-     * Stops items where online requests have needed more than the free slots for [EXCESS_CONFIRM_NANOS]. Reports of other
-     * nodes still contain requests that have just ended, so most excesses are gone in the next period; a request that
-     * finds its server full does not wait for this. Other nodes know the new load only after some time, so this node stops
-     * no more items on the same server until then.
+     * Stops items where online requests have needed more than the free slots for [EXCESS_CONFIRM_NANOS]. Reports of
+     * other nodes still contain requests that have just ended, so most excesses are gone in the next period; a request
+     * that finds its server full does not wait for this. Other nodes know the new load only after some time, so this
+     * node stops no more items on the same server until then.
      */
     private fun preemptExcessItems() {
         val nowNanos = timer.nanoTime()
@@ -231,8 +231,8 @@
             "load" to components.tracker.occupancy(server.id).total,
             "after_event" to progress.lastEventId,
         )
-        // Undispatched: the load counts at once for the placement of the next item, and an item that is cancelled before
-        // its first task would have run still reaches `finally`.
+        // Undispatched: the load counts at once for the placement of the next item, and an item that is cancelled in
+        // the same turn still reaches `finally`.
         running.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
             var outcome: RunOutcome = RunOutcome.Interrupted("stopped")
             try {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -5,9 +5,9 @@
 
 /**
  * The response to one request, readable while it arrives. Responses on the connection for which [isExpected] is false
- * belong to other requests and are discarded. While many bytes wait for the reader, [setReading] stops the connection from
- * reading more, so that a server that sends faster than its response is read does not fill the memory. Confined to the
- * event loop of the connection.
+ * belong to other requests and are discarded. While many bytes wait for the reader, [setReading] stops the connection
+ * from reading more, so that a server that sends faster than its response is read does not fill the memory. Confined to
+ * the event loop of the connection.
  */
 class HttpAnswer internal constructor(
     private val onProgress: () -> Unit,
@@ -28,8 +28,8 @@
     suspend fun head(): HttpResponse = head.await()
 
     /**
-     * Returns the next bytes of the body, or null at its end. Throws [HttpFailure.Broken] if it is truncated. No bytes are
-     * lost if the call is cancelled.
+     * Returns the next bytes of the body, or null at its end. Throws [HttpFailure.Broken] if it is truncated. No bytes
+     * are lost if the call is cancelled.
      */
     suspend fun next(): ByteArray? {
         while (true) {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpReply.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpReply.kt
@@ -16,7 +16,7 @@
 
     fun bytes(bytes: ByteArray)
 
-    /** Waits while the caller has not yet taken most of what was sent, so that a slow caller does not fill the memory. */
+    /** Waits until the caller has taken most of what was sent, so that a slow caller does not fill the memory. */
     suspend fun awaitWritable()
 
     fun end()
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetEndpoint.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetEndpoint.kt
@@ -27,8 +27,8 @@
 import kotlin.coroutines.CoroutineContext
 
 /**
- * gRPC service for other entry nodes that delegates to [service] in [context]. Uses gRPC's callbacks for the same reason
- * as the client.
+ * gRPC service for other entry nodes that delegates to [service]. Uses gRPC's callbacks for the same reason as the
+ * client.
  */
 class FleetEndpoint(private val service: FleetPeer, context: CoroutineContext) : FleetGrpc.FleetImplBase() {
     private val scope = CoroutineScope(context + SupervisorJob())
