Leave a silent server for any other one, a slow one only for a free slot

Cause: since slow streams are kept, a stream at a server that sends nothing to anybody, as behind a partition, waited for a free slot elsewhere. Ruled out: moving every stream again after 600 ms, which cuts slow but sound ones. Tests: OnlinePathTest, unchanged.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -221,7 +221,7 @@
                     Attempt.NotRun("server answered ${head.status}, not run")
                 }
                 head.status in 200..299 && !head.hasServerStamp -> throw HttpFailure.Broken("the answer bears no stamp")
-                head.isEventStream && head.status in 200..299 -> forwardStream(response)
+                head.isEventStream && head.status in 200..299 -> forwardStream(response, server)
                 else -> forwardWhole(response)
             }
         }
@@ -238,12 +238,12 @@
             return Attempt.Answered(response.head.status)
         }
 
-        private suspend fun forwardStream(response: StreamingResponse): Attempt {
+        private suspend fun forwardStream(response: StreamingResponse, server: BackendServer): Attempt {
             val splitter = EventSplitter()
             if (!reply.isStarted) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
             var waitingSinceNanos = timer.nanoTime()
             while (true) {
-                val bytes = nextBytes(response, waitingSinceNanos) ?: break
+                val bytes = nextBytes(response, server, waitingSinceNanos) ?: break
                 for (event in splitter.add(bytes)) {
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
                     if (!deliver(event)) return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
@@ -262,33 +262,32 @@
          * Reads the next bytes. A resumable stream whose last event arrived [IDLE_LIMIT_MILLIS] ago fails if it can
          * go on at another server; otherwise a slow stream is better for the caller than none.
          */
-        private suspend fun nextBytes(response: StreamingResponse, waitingSinceNanos: Long): ByteArray? {
+        private suspend fun nextBytes(
+            response: StreamingResponse,
+            server: BackendServer,
+            waitingSinceNanos: Long,
+        ): ByteArray? {
             if (!route.isResumable) return response.body.next()
             while (true) {
-                var isEnd = false
                 val idleMillis = (timer.nanoTime() - waitingSinceNanos) / NANOS_PER_MILLI
-                val bytes = if (idleMillis >= IDLE_LIMIT_MILLIS && mayMove()) {
+                if (idleMillis >= IDLE_LIMIT_MILLIS && mayMove(server)) {
                     throw HttpFailure.Broken("no event for $idleMillis ms")
-                } else {
-                    // After the limit the check repeats, since another server may become free.
-                    val waitMillis = if (idleMillis <
-                        IDLE_LIMIT_MILLIS
-                    ) {
-                        IDLE_LIMIT_MILLIS - idleMillis
-                    } else {
-                        IDLE_CHECK_MILLIS
-                    }
-                    withTimeoutOrNull(waitMillis) { response.body.next().also { isEnd = it == null } }
                 }
+                // After the limit the check repeats, since another server may become free.
+                val waitMillis = (IDLE_LIMIT_MILLIS - idleMillis).coerceAtLeast(IDLE_CHECK_MILLIS)
+                var isEnd = false
+                val bytes = withTimeoutOrNull(waitMillis) { response.body.next().also { isEnd = it == null } }
                 if (bytes != null || isEnd) return bytes
             }
         }
 
-        private fun mayMove(): Boolean = possibleRuns + 1 < route.maxAttempts &&
-            components.placement.hasFreeAlternative(
-                // The first event has arrived, so the latency target no longer counts.
-                placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE),
-            )
+        /** A server that sends nothing to anybody is left for any other one, a slow one only for a free slot. */
+        private fun mayMove(server: BackendServer): Boolean {
+            if (possibleRuns + 1 >= route.maxAttempts) return false
+            // The first event has arrived, so the latency target no longer counts.
+            val request = placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE)
+            return components.tracker.isStalled(server.id) || components.placement.hasFreeAlternative(request)
+        }
 
         /** Sends [event] to the caller unless it already has it; false if events are missing before it. */
         private fun deliver(event: StreamEvent): Boolean {
