Stop items for every excess of load again

Batch items kept slots that online requests needed. Conclusion: what cuts runs of items has to be avoided where they are placed, not where they are stopped.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -58,7 +58,6 @@
         private set
     private var remainingStarts = 1
     private val nextPreemptionAtNanos = HashMap<BackendServerId, Long>()
-    private val excessSinceNanos = HashMap<BackendServerId, Long>()
     private val runTimes = ItemRunTimes()
 
     internal fun activeJob(id: String): ActiveJob? = activeJobs[id]
@@ -132,21 +131,15 @@
     }
 
     /**
-     * Stops items where online requests have needed more than the free slots for [EXCESS_CONFIRM_NANOS]. Reports of
-     * other nodes still contain requests that have just ended, so most excesses are gone in the next period; a request
-     * that finds its server full does not wait for this. Other nodes know the new load only after some time, so this
-     * node stops no more items on the same server until then.
+     * Stops items where online requests need more than the free slots. Other nodes know the new load only after some
+     * time, so this node stops no more items on the same server until then.
      */
     private fun preemptExcessItems() {
         val nowNanos = timer.nanoTime()
         for (server in components.tracker.all()) {
             if (nowNanos < (nextPreemptionAtNanos[server.id] ?: Long.MIN_VALUE)) continue
             val excess = components.placement.excessItems(server)
-            if (excess == 0) {
-                excessSinceNanos.remove(server.id)
-                continue
-            }
-            if (nowNanos - excessSinceNanos.getOrPut(server.id) { nowNanos } < EXCESS_CONFIRM_NANOS) continue
+            if (excess == 0) continue
             nextPreemptionAtNanos[server.id] = nowNanos + LOAD_PROPAGATION_NANOS
             preemptItems(server, excess)
         }
@@ -439,9 +432,6 @@
         /** Time until all nodes know that items were stopped. */
         const val LOAD_PROPAGATION_NANOS = 600_000_000L
 
-        /** Reports of loads within a failure domain are up to this old. */
-        const val EXCESS_CONFIRM_NANOS = 250_000_000L
-
         /** Results that arrive within this time share one write. */
         const val WRITE_BATCHING_MILLIS = 600L
 
