Share one change signal, and drop what the last changes wrote twice

Cause: read through of the whole change. Three classes kept a CompletableDeferred that they completed and replaced at each change; HttpAnswer made a new one for each part of a body, also when nobody waited. Forwarder and JobRunner each told the end of a body from a time-out with a flag. EventSplitter asked a synchronized stream for its size at each byte. JobFailover nested two checks of one holder. Ruled out: one wrapper for the seven ObjectStore decorators (KillGate, SimulatedNode, SimulatedProcess and others): only renamed by this change, and each intercepts other calls; the rest of the pairs are signatures or shapes. Assertions and bounds are as they were. Conclusion: behaviour is as before.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -1,12 +1,12 @@
 package ragwortbarrow.entry
 
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import ragwortbarrow.core.jobs.BatchJob
 import ragwortbarrow.core.jobs.ItemProgress
 import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.placement.BackendServer
+import ragwortbarrow.core.time.ChangeSignal
 
 /** A batch job that this node runs: its waiting and running items, and the results that are not stored yet. */
 internal class ActiveJob(
@@ -23,19 +23,16 @@
     var isStoring = false
     var isVerifyingHolder = false
     var rereadAtNanos = 0L
-    private var changeSignal = CompletableDeferred<Unit>()
+    private val change = ChangeSignal()
 
     init {
         job.items.filterNot { log.contains(it.id) }.mapTo(waiting) { ItemProgress(it, maxAttempts) }
     }
 
     /** Suspends until results are stored or the job stops. */
-    suspend fun awaitChange() = changeSignal.await()
+    suspend fun awaitChange() = change.await()
 
-    fun signalChange() {
-        changeSignal.complete(Unit)
-        changeSignal = CompletableDeferred()
-    }
+    fun signalChange() = change.raise()
 }
 
 /** The server that runs an item, and the coroutine that reads its output. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EventSplitter.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EventSplitter.kt
@@ -20,12 +20,17 @@
     /** Appends [bytes] and returns the events that they complete. Throws [HttpFailure.Broken] if one is too long. */
     fun add(bytes: ByteArray): List<StreamEvent> {
         val events = ArrayList<StreamEvent>(1)
+        var sizeBytes = pending.size()
         for (byte in bytes) {
-            if (pending.size() >= maxEventBytes) throw HttpFailure.Broken("an event exceeds $maxEventBytes bytes")
+            if (sizeBytes >= maxEventBytes) throw HttpFailure.Broken("an event exceeds $maxEventBytes bytes")
             pending.write(byte.toInt())
+            sizeBytes++
             when (byte) {
                 LINE_FEED -> {
-                    if (atLineStart && pending.size() > 1) events += takeEvent()
+                    if (atLineStart && sizeBytes > 1) {
+                        events += takeEvent()
+                        sizeBytes = 0
+                    }
                     atLineStart = true
                 }
                 CARRIAGE_RETURN -> Unit
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -275,9 +275,7 @@
                 }
                 // After the limit the check repeats, since another server may become free.
                 val waitMillis = (IDLE_LIMIT_MILLIS - idleMillis).coerceAtLeast(IDLE_CHECK_MILLIS)
-                var isEnd = false
-                val bytes = withTimeoutOrNull(waitMillis) { response.body.next().also { isEnd = it == null } }
-                if (bytes != null || isEnd) return bytes
+                if (withTimeoutOrNull(waitMillis) { response.body.awaitNext() } != null) return response.body.next()
             }
         }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
@@ -144,12 +144,10 @@
         val job = jobStore.job(id).getOrElse { return Err(it) }
         val state = jobStore.state(id).getOrElse { return Err(it) }
         val holder = state.holder ?: job.holder
-        if (!isOpen(job, state)) return Ok(Unit)
-        if (holder != self && !members.hasFailed(holder)) {
-            if (isSilent(holder)) timer.once(SILENT_RETRY_MILLIS) { scope.launch { ensureRunning(listOf(id)) } }
-            return Ok(Unit)
-        }
-        return takeOver(job, holder)
+        if (!isOpen(job, state) || (holder != self && members.mayRun(holder))) return Ok(Unit)
+        if (!isSilent(holder)) return takeOver(job, holder)
+        timer.once(SILENT_RETRY_MILLIS) { scope.launch { ensureRunning(listOf(id)) } }
+        return Ok(Unit)
     }
 
     private suspend fun takeOver(job: BatchJob, from: JobHolder): Result<Unit, StoreError> {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -297,14 +297,11 @@
         val splitter = EventSplitter()
         var lastEventNanos = timer.nanoTime()
         while (true) {
-            var isEnd = false
             // Measured from the last event: a server that is stuck may still send bytes.
             val idleMillis = (timer.nanoTime() - lastEventNanos) / NANOS_PER_MILLI
-            val bytes = withTimeoutOrNull(IDLE_LIMIT_MILLIS - idleMillis) {
-                response.body.next().also { isEnd = it == null }
-            }
-            if (isEnd) break
-            if (bytes == null) throw HttpFailure.Broken("no event for $IDLE_LIMIT_MILLIS ms")
+            withTimeoutOrNull(IDLE_LIMIT_MILLIS - idleMillis) { response.body.awaitNext() }
+                ?: throw HttpFailure.Broken("no event for $IDLE_LIMIT_MILLIS ms")
+            val bytes = response.body.next() ?: break
             for (event in splitter.add(bytes)) {
                 val id = event.id ?: continue
                 if (!progress.appendEvent(id, event.data)) throw HttpFailure.Broken("events before $id are missing")
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import org.junit.jupiter.api.Test
-import ragwortbarrow.core.allowance.CustomerRateLimiter
 import ragwortbarrow.core.fleet.FleetConnector
 import ragwortbarrow.core.fleet.FleetMembers
 import ragwortbarrow.core.fleet.FleetNode
@@ -60,13 +59,7 @@
             members,
             plan,
             FleetConnector { address -> Peer(nodes.getValue(address), this) },
-            FleetStateExchange.SharedState(
-                tracker,
-                CustomerRateLimiter(timer, windowMillis = 5_000),
-                ConfigurationHolder({ error("no configuration here") }, DecisionLog.NONE),
-                ServerDirectory({ null }, tracker, timer, DecisionLog.NONE),
-                CancelledJobs(timer),
-            ),
+            sharedStateOf(tracker, timer),
             timer,
             CoroutineScope(Dispatchers.Unconfined),
             DecisionLog.NONE,
--- a/entry/src/test/kotlin/ragwortbarrow/entry/PeerSnapshotFetcherTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/PeerSnapshotFetcherTest.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import org.junit.jupiter.api.Test
-import ragwortbarrow.core.allowance.CustomerRateLimiter
 import ragwortbarrow.core.fleet.ActivitySummary
 import ragwortbarrow.core.fleet.FleetConnector
 import ragwortbarrow.core.fleet.FleetNode
@@ -28,13 +27,7 @@
     private var fetches = 0
     private val fetcher = PeerSnapshotFetcher(
         FleetConnector { Peer() },
-        FleetStateExchange.SharedState(
-            tracker,
-            CustomerRateLimiter(timer, windowMillis = 5_000),
-            ConfigurationHolder({ error("no configuration here") }, DecisionLog.NONE),
-            ServerDirectory({ null }, tracker, timer, DecisionLog.NONE),
-            CancelledJobs(timer),
-        ),
+        sharedStateOf(tracker, timer),
         timer,
         CoroutineScope(Dispatchers.Unconfined),
         DecisionLog.NONE,
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse
 import kotlinx.coroutines.CompletableDeferred
+import ragwortbarrow.core.time.ChangeSignal
 
 /**
  * The response to one request, readable while it arrives. Responses on the connection for which [isExpected] is false
@@ -18,7 +19,7 @@
     private val chunks = ArrayDeque<ByteArray>()
     private var isEnded = false
     private var failure: HttpFailure.Broken? = null
-    private var changed = CompletableDeferred<Unit>()
+    private val change = ChangeSignal()
     private var waitingBytes = 0
     private var isReading = true
 
@@ -27,20 +28,17 @@
     /** Waits for the status and headers. Throws [HttpFailure.Broken] if the connection fails before they arrive. */
     suspend fun head(): HttpResponse = head.await()
 
-    /**
-     * Returns the next bytes of the body, or null at its end. Throws [HttpFailure.Broken] if it is truncated. No bytes
-     * are lost if the call is cancelled.
-     */
+    /** Waits until [next] returns or throws at once. */
+    suspend fun awaitNext() {
+        while (chunks.isEmpty() && failure == null && !isEnded) change.await()
+    }
+
+    /** Returns the next bytes of the body, or null at its end. Throws [HttpFailure.Broken] if it is truncated. */
     suspend fun next(): ByteArray? {
-        while (true) {
-            chunks.removeFirstOrNull()?.let {
-                adjustWaiting(-it.size)
-                return it
-            }
-            failure?.let { throw it }
-            if (isEnded) return null
-            changed.await()
-        }
+        awaitNext()
+        val bytes = chunks.removeFirstOrNull()
+        if (bytes != null) adjustWaiting(-bytes.size) else failure?.let { throw it }
+        return bytes
     }
 
     private fun adjustWaiting(bytes: Int) {
@@ -80,23 +78,18 @@
         onProgress()
         adjustWaiting(bytes.size)
         chunks += bytes
-        signalChange()
+        change.raise()
     }
 
     internal fun onEnd() {
         isEnded = true
-        signalChange()
+        change.raise()
     }
 
     internal fun onBroken(failure: HttpFailure.Broken) {
         head.completeExceptionally(failure)
         this.failure = failure
-        signalChange()
-    }
-
-    private fun signalChange() {
-        changed.complete(Unit)
-        changed = CompletableDeferred()
+        change.raise()
     }
 
     private companion object {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -24,11 +24,11 @@
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.Future
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
+import ragwortbarrow.core.time.ChangeSignal
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
@@ -47,7 +47,7 @@
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
     private var lastUseNanos = System.nanoTime()
-    private var writable = CompletableDeferred<Unit>()
+    private val writable = ChangeSignal()
 
     /** Whether no request is being read, handled or queued. */
     val isIdle: Boolean get() = requestHead == null && handlerJob == null && queuedRequests.isEmpty()
@@ -70,9 +70,7 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (!channel.isWritable) return
-        writable.complete(Unit)
-        writable = CompletableDeferred()
+        if (channel.isWritable) writable.raise()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
--- a/standins/src/main/kotlin/ragwortbarrow/standins/LoopbackPorts.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/LoopbackPorts.kt
@@ -18,12 +18,12 @@
      * some time before they are bound. A port from the ephemeral range could be taken by an outgoing connection of any
      * process before the process under test binds it.
      */
-    fun free(): Int = generateSequence { RANGE.random(Random.Default) }.take(ATTEMPTS).first {
-        isFree(it) &&
-            chosen.add(it)
-    }
+    fun free(): Int = generateSequence {
+        RANGE.random(Random.Default)
+    }.take(ATTEMPTS).filter(::isFree).first(chosen::add)
 
-    private fun isFree(port: Int): Boolean = try {
+    /** Whether [port] can be bound now. */
+    fun isFree(port: Int): Boolean = try {
         ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close()
         true
     } catch (taken: IOException) {
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -123,9 +123,7 @@
         }
     }
 
-    private fun isMisdirected(request: RunnerRequest) = request.header("X-Expect-Instance").let {
-        it != null && it != id
-    }
+    private fun isMisdirected(request: RunnerRequest) = (request.header("X-Expect-Instance") ?: id) != id
 
     private fun nextBehaviour(request: RunnerRequest): RunnerBehaviour {
         val next = if (upcoming.size > 1) upcoming.remove() else upcoming.peek()
