Record requests whose connection ends without a complete answer

Cause: the logs could not tell a caller that left from a connection that the node closed itself; both ended with status 499 or with no line, so the hypotheses on lost requests could not be told apart. Change: the HTTP server reports each request that was read whole and whose connection ended before its answer did, with the side that closed it and the reason; the entry node writes `unanswered` and counts it.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/CallerHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/CallerHandler.kt
@@ -14,6 +14,7 @@
 import ragwortbarrow.core.traffic.RoutingTable
 import ragwortbarrow.http.HttpReply
 import ragwortbarrow.http.HttpRequestMessage
+import ragwortbarrow.http.UnansweredRequest
 import kotlin.math.ceil
 
 /** Handles callers' requests: resolves route and customer, applies the rate limit, and dispatches the request. */
@@ -44,6 +45,19 @@
         }
     }
 
+    /** Records a request whose connection ended before its response was complete. */
+    fun recordUnanswered(unanswered: UnansweredRequest) {
+        log.record(
+            "unanswered",
+            "request_id" to protocol.parseHead(unanswered.request).requestId,
+            "path" to unanswered.request.pathOnly,
+            "configuration" to configuration.version,
+            "closed_by" to unanswered.reason,
+            "started" to unanswered.isStarted,
+        )
+        metrics.countUnanswered(unanswered.reason)
+    }
+
     private suspend fun serve(message: HttpRequestMessage, reply: HttpReply, startNanos: Long) {
         val head = protocol.parseHead(message)
         val table = configuration.table
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import ragwortbarrow.core.error.ResultCode
+import ragwortbarrow.http.ConnectionCloseReason
 import java.time.Duration
 import java.util.TreeMap
 import java.util.concurrent.TimeUnit
@@ -16,6 +17,7 @@
     private val requests = HashMap<Pair<String, Int>, Timer>()
     private val firstEvents = HashMap<String, Timer>()
     private val refusals = HashMap<ResultCode, Counter>()
+    private val unanswered = HashMap<ConnectionCloseReason, Counter>()
     private val platformCalls = HashMap<Pair<String, String>, Counter>()
     private val callsSinceSummary = TreeMap<String, Int>()
     private val counters = HashMap<String, Counter>()
@@ -36,6 +38,12 @@
             .tag("code", code.name).register(registry)
     }.increment()
 
+    /** Counts a request whose connection ended before its response was complete. */
+    fun countUnanswered(reason: ConnectionCloseReason) = unanswered.getOrPut(reason) {
+        Counter.builder("ragwortbarrow.entry.unanswered").description("Requests without a complete response")
+            .tag("closed_by", reason.name).register(registry)
+    }.increment()
+
     /** Increments the counter [name], such as `connections_opened` or `batch_items_stopped`. */
     fun increment(name: String) = counters.getOrPut(name) {
         Counter.builder("ragwortbarrow.entry.$name").register(registry)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -132,7 +132,8 @@
     private val callerHandler =
         CallerHandler(configuration, rateLimiter, members, forwarder, jobHandler, protocol, timer, metrics, log)
 
-    private val callerServer = HttpServer(loop, scope, ::callerLimits, callerHandler::handle)
+    private val callerServer =
+        HttpServer(loop, scope, ::callerLimits, callerHandler::recordUnanswered, callerHandler::handle)
     private val healthServer = HttpServer(loop, scope) { request, reply -> answerHealthCheck(request, reply) }
     private val peerServer = socketAddress(settings.peerAddress).let {
         GrpcPeerServer(it.hostString, it.port, FleetEndpoint(LocalFleetPeer(), dispatcher), group = group)
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
@@ -18,12 +18,13 @@
 
 /**
  * An HTTP/1.1 server on one address. All connections run on [loop], and [handler] runs in [scope], which must be
- * confined to the same loop.
+ * confined to the same loop. [onUnanswered] is called for each request whose connection ends before its response.
  */
 class HttpServer(
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val limits: () -> HttpServerLimits = { HttpServerLimits() },
+    private val onUnanswered: (UnansweredRequest) -> Unit = {},
     private val handler: HttpHandler,
 ) {
     private val connections = HashSet<HttpServerConnection>()
@@ -45,7 +46,8 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    val connection = HttpServerConnection(channel, scope, limits(), { isClosing }, handler)
+                    val connection =
+                        HttpServerConnection(channel, scope, limits(), { isClosing }, onUnanswered, handler)
                     connections += connection
                     channel.closeFuture().addListener { connections -= connection }
                     channel.pipeline().addLast(StrictRequestDecoder(limits()), HttpResponseEncoder(), connection)
@@ -60,7 +62,7 @@
     /** Releases the address and closes all connections, also those with a request in progress. */
     fun close() {
         listener?.close()?.syncUninterruptibly()
-        loop.execute { connections.toList().forEach { it.close() } }
+        loop.execute { connections.toList().forEach { it.close(ConnectionCloseReason.SERVER_STOPPED) } }
     }
 
     /** Adds `Connection: close` to all further responses. Idle connections stay open until [closeIdle]. */
@@ -73,7 +75,8 @@
      * connection that was just accepted may be on its way.
      */
     fun closeIdle() {
-        connections.filter { it.isIdle && it.idleMillis >= IDLE_BEFORE_CLOSE_MILLIS }.forEach { it.close() }
+        connections.filter { it.isIdle && it.idleMillis >= IDLE_BEFORE_CLOSE_MILLIS }
+            .forEach { it.close(ConnectionCloseReason.SERVER_STOPPED) }
     }
 
     private companion object {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -39,11 +39,14 @@
     private val scope: CoroutineScope,
     private val limits: HttpServerLimits,
     private val isClosing: () -> Boolean,
+    private val onUnanswered: (UnansweredRequest) -> Unit,
     private val handler: HttpHandler,
 ) : ChannelInboundHandlerAdapter() {
     private var requestHead: HttpRequest? = null
     private var body = ByteArrayOutputStream()
     private var handlerJob: Job? = null
+    private var currentReply: Reply? = null
+    private var closeReason: ConnectionCloseReason? = null
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
     private var lastUseNanos = System.nanoTime()
@@ -55,11 +58,13 @@
     /** Time since the connection was accepted or since its last response was sent. */
     val idleMillis: Long get() = (System.nanoTime() - lastUseNanos) / NANOS_PER_MILLI
 
-    fun close() {
+    fun close(reason: ConnectionCloseReason) {
+        if (closeReason == null) closeReason = reason
         channel.close()
     }
 
-    override fun channelActive(context: ChannelHandlerContext) = scheduleClose(limits.idleTimeoutMillis)
+    override fun channelActive(context: ChannelHandlerContext) =
+        scheduleClose(limits.idleTimeoutMillis, ConnectionCloseReason.IDLE)
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
@@ -75,13 +80,21 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timeout?.cancel(false)
+        reportUnanswered(closeReason ?: ConnectionCloseReason.CALLER)
         queuedRequests.clear()
         handlerJob?.cancel(CancellationException("the caller closed the connection"))
     }
 
     @Deprecated("deprecated in ChannelHandler, but not in ChannelInboundHandler")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        context.close()
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
+        close(ConnectionCloseReason.CONNECTION_FAILED)
+
+    /** Reports the requests that were read whole and whose response is not complete when the connection ends. */
+    private fun reportUnanswered(reason: ConnectionCloseReason) {
+        currentReply?.takeIf {
+            !it.isComplete
+        }?.let { onUnanswered(UnansweredRequest(it.request, reason, it.isStarted)) }
+        queuedRequests.forEach { onUnanswered(UnansweredRequest(it.message, reason, isStarted = false)) }
     }
 
     private fun read(message: HttpObject) {
@@ -92,7 +105,7 @@
         if (message is HttpRequest) {
             requestHead = message
             body = ByteArrayOutputStream()
-            scheduleClose(limits.headerTimeoutMillis)
+            scheduleClose(limits.headerTimeoutMillis, ConnectionCloseReason.REQUEST_TIMEOUT)
             if (HttpUtil.is100ContinueExpected(message)) {
                 channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
             }
@@ -114,18 +127,19 @@
         val message = HttpRequestMessage(head.method().name(), head.uri(), head.headers(), body.toByteArray())
         queuedRequests += QueuedRequest(message, HttpUtil.isKeepAlive(head))
         body = ByteArrayOutputStream()
-        if (queuedRequests.size > MAX_PIPELINED) channel.close() else runNext()
+        if (queuedRequests.size > MAX_PIPELINED) close(ConnectionCloseReason.TOO_MANY_REQUESTS) else runNext()
     }
 
     private fun runNext() {
         if (handlerJob != null) return
         val next = queuedRequests.removeFirstOrNull()
         if (next == null) {
-            if (channel.isActive) scheduleClose(limits.idleTimeoutMillis)
+            if (channel.isActive) scheduleClose(limits.idleTimeoutMillis, ConnectionCloseReason.IDLE)
             return
         }
         val request = next.message
-        val reply = Reply(next.keepAlive)
+        val reply = Reply(request, next.keepAlive)
+        currentReply = reply
         val job = scope.launch {
             try {
                 handler(request, reply)
@@ -141,19 +155,21 @@
         handlerJob = job
         job.invokeOnCompletion {
             handlerJob = null
+            if (reply.isComplete) currentReply = null
             lastUseNanos = System.nanoTime()
             if (channel.isActive) runNext()
         }
     }
 
-    private fun scheduleClose(millis: Long) {
+    private fun scheduleClose(millis: Long, reason: ConnectionCloseReason) {
         timeout?.cancel(false)
         timeout =
-            channel.eventLoop().schedule({ if (handlerJob == null) channel.close() }, millis, TimeUnit.MILLISECONDS)
+            channel.eventLoop().schedule({ if (handlerJob == null) close(reason) }, millis, TimeUnit.MILLISECONDS)
     }
 
     private fun refuseAndClose(status: HttpResponseStatus) {
         requestHead = null
+        closeReason = ConnectionCloseReason.INVALID_REQUEST
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close")
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
@@ -161,17 +177,22 @@
 
     private class QueuedRequest(val message: HttpRequestMessage, val keepAlive: Boolean)
 
-    private inner class Reply(private val keepAlive: Boolean) : HttpReply {
+    private inner class Reply(val request: HttpRequestMessage, private val keepAlive: Boolean) : HttpReply {
         override var isStarted = false
             private set
         override var isFinished = false
             private set
         private var closesAfterResponse = false
 
+        /** Whether the last byte of the response has been written. */
+        var isComplete = false
+            private set
+
         override fun whole(status: Int, headers: HttpHeaders, body: ByteArray) {
             if (isStarted) return
             isStarted = true
             isFinished = true
+            isComplete = true
             val response = DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
@@ -198,12 +219,13 @@
 
         override fun end() {
             isFinished = true
+            isComplete = true
             closeIfRequested(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
         }
 
         override fun abort() {
             isFinished = true
-            channel.close()
+            close(ConnectionCloseReason.ANSWER_ABANDONED)
         }
 
         private fun <T : HttpResponse> setConnectionHeader(response: T): T = response.also {
