Let open connections follow a changed idle timeout

Cause: a connection kept the idle timeout that was in force when it was accepted. Class of fault: a limit that is copied where it should be read. What callers saw: after a version that raises idle_timeout_ms, their open connections were closed by the old value, within the time for which they may be kept; a request sent at that moment got no answer. Change: the timer reads the limits in force when it is due, and waits on if they were raised; the size limit of bodies is read likewise. A body limit that changes inside a body applies to that body, as before it did for the next connection. Not shown to be what the operators saw.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
@@ -47,7 +47,7 @@
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     val connection =
-                        HttpServerConnection(channel, scope, limits(), { isClosing }, onUnanswered, handler)
+                        HttpServerConnection(channel, scope, limits, { isClosing }, onUnanswered, handler)
                     connections += connection
                     channel.closeFuture().addListener { connections -= connection }
                     channel.pipeline().addLast(StrictRequestDecoder(limits()), HttpResponseEncoder(), connection)
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -37,7 +37,7 @@
 internal class HttpServerConnection(
     private val channel: Channel,
     private val scope: CoroutineScope,
-    private val limits: HttpServerLimits,
+    private val limits: () -> HttpServerLimits,
     private val isClosing: () -> Boolean,
     private val onUnanswered: (UnansweredRequest) -> Unit,
     private val handler: HttpHandler,
@@ -63,8 +63,7 @@
         channel.close()
     }
 
-    override fun channelActive(context: ChannelHandlerContext) =
-        scheduleClose(limits.idleTimeoutMillis, ConnectionCloseReason.IDLE)
+    override fun channelActive(context: ChannelHandlerContext) = scheduleIdleClose()
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
@@ -105,14 +104,14 @@
         if (message is HttpRequest) {
             requestHead = message
             body = ByteArrayOutputStream()
-            scheduleClose(limits.headerTimeoutMillis, ConnectionCloseReason.REQUEST_TIMEOUT)
+            schedule(limits().headerTimeoutMillis) { close(ConnectionCloseReason.REQUEST_TIMEOUT) }
             if (HttpUtil.is100ContinueExpected(message)) {
                 channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
             }
         }
         val head = requestHead
         if (message is HttpContent && head != null) {
-            if (body.size() + message.content().readableBytes() > limits.maxBodyBytes) {
+            if (body.size() + message.content().readableBytes() > limits().maxBodyBytes) {
                 refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
                 return
             }
@@ -134,7 +133,7 @@
         if (handlerJob != null) return
         val next = queuedRequests.removeFirstOrNull()
         if (next == null) {
-            if (channel.isActive) scheduleClose(limits.idleTimeoutMillis, ConnectionCloseReason.IDLE)
+            if (channel.isActive) scheduleIdleClose()
             return
         }
         val request = next.message
@@ -161,10 +160,18 @@
         }
     }
 
-    private fun scheduleClose(millis: Long, reason: ConnectionCloseReason) {
+    /** Closes the connection after the idle timeout, which may change while the connection is idle. */
+    private fun scheduleIdleClose(delayMillis: Long = limits().idleTimeoutMillis) {
+        schedule(delayMillis) {
+            val remainingMillis = limits().idleTimeoutMillis - idleMillis
+            if (remainingMillis > 0) scheduleIdleClose(remainingMillis) else close(ConnectionCloseReason.IDLE)
+        }
+    }
+
+    private fun schedule(delayMillis: Long, action: () -> Unit) {
         timeout?.cancel(false)
-        timeout =
-            channel.eventLoop().schedule({ if (handlerJob == null) close(reason) }, millis, TimeUnit.MILLISECONDS)
+        timeout = channel.eventLoop()
+            .schedule({ if (handlerJob == null) action() }, delayMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun refuseAndClose(status: HttpResponseStatus) {
--- a/http/src/test/kotlin/ragwortbarrow/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/HttpServerTest.kt
@@ -83,6 +83,15 @@
         expectThat(unanswered).isEmpty()
     }
 
+    /** Callers keep connections for most of the idle timeout in force, which a new configuration may raise. */
+    @Test
+    fun `an open connection follows an idle timeout that is raised`() = connected { socket ->
+        expectThat(socket.call()).isEqualTo("HTTP/1.1 200 OK")
+        limits = HttpServerLimits(idleTimeoutMillis = 5_000)
+        Thread.sleep(1_000)
+        expectThat(socket.call()).isEqualTo("HTTP/1.1 200 OK")
+    }
+
     @Test
     fun `a connection is closed when its idle timeout has passed`() = connected { socket ->
         expectThat(socket.call()).isEqualTo("HTTP/1.1 200 OK")
