Find a node for an acknowledged job although its caller has left

Cause: what a request does runs in the coroutine of its connection, which is cancelled when the caller closes it. For a batch job that is already stored, the node acknowledges first and then looks for a node that runs it. Callers use a connection for each call and close it after the answer, so the search was cancelled: class of fault, work for the fleet bound to the life of a connection. Change: the search runs in the scope of the node. Evidence: BatchPathTest, a job that no node runs is run although its caller leaves after the acknowledgement: failed before (no item ran within 5 s), passes now. The older test of the same path kept its connection open, as the JDK's client does. Also looked at: the cancellation of a job is announced to the fleet before its acknowledgement and without a wait; checkJobs of a peer is launched in the scope of its node; reads of results store nothing.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -7,6 +7,8 @@
 import com.github.michaelbull.result.getOrElse
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.error.Execution
 import ragwortbarrow.core.error.ResultCode
@@ -49,6 +51,7 @@
     private val cancelledJobs: CancelledJobs,
     private val protocol: EntryProtocol,
     private val timer: TimerService,
+    private val scope: CoroutineScope,
     private val log: DecisionLog,
 ) {
     /** Called with a job that may have no running holder; this node then takes it over unless another one runs it. */
@@ -116,7 +119,8 @@
                 when (error) {
                     is StoreError.AlreadyExists -> {
                         acknowledge(head, reply, route, items.size, "known", startNanos)
-                        ensureRunning(job.id)
+                        // Callers close the connection after the acknowledgement, which cancels their request.
+                        scope.launch { ensureRunning(job.id) }
                     }
                     is StoreError.OutcomeUnknown -> reply.sendError(
                         ServingError.BackendFailed(
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -120,7 +120,8 @@
         log,
     )
     private val failover = JobFailover(members, plan, connector, jobStore, runner, timer, scope, log)
-    private val jobHandler = BatchJobHandler(runner, jobStore, members, connector, cancelledJobs, protocol, timer, log)
+    private val jobHandler =
+        BatchJobHandler(runner, jobStore, members, connector, cancelledJobs, protocol, timer, scope, log)
     private val placement = OnlinePlacement(tracker, latencies, settings.failureDomain)
     private val forwarder = Forwarder(
         Forwarder.Components(tracker, placement, latencies, backendCalls),
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -15,10 +15,12 @@
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
+import ragwortbarrow.core.time.NANOS_PER_MILLI
 import java.net.InetSocketAddress
 import java.util.TreeMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.locks.LockSupport
 
 /**
  * In-memory test server for the operators' metadata store: objects with revisions, conditional writes, paged lists and
@@ -48,6 +50,10 @@
     @Volatile
     var isDown = false
 
+    /** Delays the response to each call. */
+    @Volatile
+    var responseDelayMillis = 0L
+
     /** The number of further writes that take effect but whose connection is closed without a response. */
     val answersToLose = AtomicInteger()
 
@@ -115,6 +121,7 @@
 
     private fun handle(exchange: HttpExchange) {
         calls.incrementAndGet()
+        if (responseDelayMillis > 0) LockSupport.parkNanos(responseDelayMillis * NANOS_PER_MILLI)
         if (isDown) return respond(exchange, 503, JsonObject(emptyMap()))
         val parts = exchange.requestURI.path.removePrefix("/objects/").split('/')
         val query = exchange.requestURI.query.orEmpty().split('&').filter { '=' in it }
