Go on with a silent stream at another server only once that one answers

Class of fault: giving up what works for what may not. What callers saw: a stream that had begun was cut, although its server was sound and would have gone on a moment later. Change: the silent response stays open while the next server is asked. The one that goes on first keeps the stream, the other is closed at once, so no two servers work on it for longer than a response head takes. BackendCalls.open and BackendCall let a caller hold a response without reading it in one block. Ruled out: a longer limit alone, which would leave stalled servers' streams waiting for as long.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -13,10 +13,7 @@
 /** A backend server's response: the decoded [head] and the [body] as it arrives. */
 class StreamingResponse(val head: BackendResponseHead, val httpResponse: HttpResponse, val body: HttpAnswer)
 
-/**
- * Sends requests to backend servers. [run] counts a request as in flight while it lasts. It closes the connection
- * unless the response was read to its end, so that the server stops work whose result nobody reads.
- */
+/** Sends requests to backend servers. A request counts as in flight until its [BackendCall] is closed. */
 class BackendCalls(
     private val pool: HttpClientPool,
     private val tracker: ServerTracker,
@@ -36,30 +33,31 @@
         waitMillis: Double = 0.0,
         timeouts: ResponseHeadTimeouts = ResponseHeadTimeouts(),
         read: suspend (StreamingResponse) -> T,
-    ): T {
+    ): T = open(server, request, requestId, isBatch, requiresFreshConnection, waitMillis, timeouts).read(read)
+
+    /** Like [run], but returns when the response begins. The caller reads or closes the result. */
+    suspend fun open(
+        server: BackendServer,
+        request: HttpRequestMessage,
+        requestId: String,
+        isBatch: Boolean,
+        requiresFreshConnection: Boolean,
+        waitMillis: Double = 0.0,
+        timeouts: ResponseHeadTimeouts = ResponseHeadTimeouts(),
+    ): BackendCall {
         val startMillis = tracker.recordStart(server.id, isBatch, waitMillis)
         var connection: HttpClientConnection? = null
+        var call: BackendCall? = null
         try {
             connection =
                 pool.acquire(server.address, if (requiresFreshConnection) FRESH_SHARE else HttpClientPool.KEPT_SHARE)
             val answer = connection.send(request, { tracker.recordActivity(server.id) }) {
                 protocol.isResponseTo(it, requestId)
             }
-            val response = awaitHead(answer, timeouts)
-            tracker.recordResponseStart(server.id)
-            val head = protocol.parseResponseHead(response)
-            val result = try {
-                read(StreamingResponse(head, response, answer))
-            } finally {
-                tracker.recordResponseEnd(server.id)
-            }
-            // A batch item is sent again under the same id. A late second copy of its failure would look like the
-            // response to the next run, so a connection with a failure is not used again.
-            if (!isBatch || head.status in 200..299) {
-                pool.release(connection)
-                connection = null
-            }
-            return result
+            val httpResponse = awaitHead(answer, timeouts)
+            val response = StreamingResponse(protocol.parseResponseHead(httpResponse), httpResponse, answer)
+            call = BackendCall(server, response, isBatch, startMillis, connection, pool, tracker)
+            return call
         } catch (abandoned: LeftQueue) {
             tracker.recordUnanswered(server.id)
             throw abandoned
@@ -68,8 +66,10 @@
             pool.drop(server.address)
             throw failure
         } finally {
-            connection?.close()
-            tracker.recordEnd(server.id, isBatch, startMillis)
+            if (call == null) {
+                connection?.close()
+                tracker.recordEnd(server.id, isBatch, startMillis)
+            }
         }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
@@ -42,7 +42,10 @@
     /** Whether the server states that it did not run the request. */
     val isNotRun: Boolean,
     val isEventStream: Boolean,
-)
+) {
+    /** Whether the response is a server's own stream of events. */
+    val isStream: Boolean get() = isEventStream && hasServerStamp && status in 200..299
+}
 
 /** Headers that the entry node adds to a request to a backend server. */
 data class BackendRequestHead(
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -1,5 +1,9 @@
 package ragwortbarrow.entry
 
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.error.Execution
 import ragwortbarrow.core.error.ResultCode
@@ -18,6 +22,7 @@
 import ragwortbarrow.core.traffic.CustomerAccount
 import ragwortbarrow.core.traffic.Route
 import ragwortbarrow.core.traffic.RouteKind
+import ragwortbarrow.http.HttpAnswer
 import ragwortbarrow.http.HttpFailure
 import ragwortbarrow.http.HttpReply
 import ragwortbarrow.http.HttpRequestMessage
@@ -80,6 +85,9 @@
 
         /** The server may have run the request or a part of it. */
         data class Broken(val reason: String) : Attempt
+
+        /** The server fell silent within its stream, and another one goes on with it in [call]. */
+        class Moved(val call: BackendCall, val reason: String) : Attempt
     }
 
     private inner class Forwarding(private val request: OnlineRequest, private val reply: HttpReply) {
@@ -89,6 +97,7 @@
         private var lastEventId = request.head.lastEventId
         private var sendCount = 0
         private var possibleRuns = 0
+        private val sentNanosByServer = HashMap<BackendServerId, Long>()
         private var lastServer: BackendServerId? = null
         private var lastReason = ""
 
@@ -99,17 +108,23 @@
                     is Placement.Full -> return fail(ResultCode.QUEUE_FULL, placed.retryAfterMillis)
                     is Placement.NoServer -> return fail(ResultCode.NO_BACKEND_SERVER, placed.retryAfterMillis)
                 }
-                excluded += server.id
                 lastServer = server.id
-                sendCount++
-                when (val attempt = attempt(server)) {
-                    is Attempt.Answered -> return ForwardResult(attempt.status, null, server.id, sendCount, "answered")
+                var attempt = attempt(server)
+                while (attempt is Attempt.Moved) {
+                    possibleRuns++
+                    lastReason = attempt.reason
+                    lastServer = attempt.call.server.id
+                    attempt = read(attempt.call)
+                }
+                when (attempt) {
+                    is Attempt.Answered -> return ForwardResult(attempt.status, null, lastServer, sendCount, "answered")
                     is Attempt.NotRun -> lastReason = attempt.reason
                     is Attempt.Broken -> {
                         possibleRuns++
                         lastReason = attempt.reason
                         if (!mayRetry()) return fail(ResultCode.BACKEND_FAILED_UNKNOWN, null)
                     }
+                    is Attempt.Moved -> error("a stream that moved is read at its new server")
                 }
                 if (sendCount >= MAX_SENDS) return fail(ResultCode.BACKEND_FAILED_NOT_RUN, RETRY_AFTER_MILLIS)
             }
@@ -153,30 +168,9 @@
         }
 
         private suspend fun attempt(server: BackendServer): Attempt {
-            val remainingMillis = request.limitMillis - elapsedMillis(request)
-            val head = BackendRequestHead(server.id, remainingMillis, request.customer?.id?.value, lastEventId)
-            val sentNanos = timer.nanoTime()
             val waitMillis = components.placement.waitMillis(server)
-            val message = protocol.backendRequest(request.message, head)
             return try {
-                components.backendCalls.run(
-                    server,
-                    message,
-                    request.head.requestId,
-                    isBatch = false,
-                    requiresFreshConnection = !route.isIdempotent && !route.isResumable,
-                    waitMillis = waitMillis,
-                    timeouts = responseHeadTimeouts(waitMillis),
-                ) { response ->
-                    if (waitMillis <= 0) components.latencies.recordFirstByte(service, millisSince(sentNanos))
-                    forwardResponse(response, server).also {
-                        if (it is Attempt.Answered && it.status < 300) {
-                            components.latencies.recordDuration(service, millisSince(sentNanos))
-                            components.tracker.recordSuccess(server.id)
-                        }
-                        if (it !is Attempt.NotRun) components.tracker.recordOnlineOutcome(server.id, isSuccess(it))
-                    }
-                }
+                read(open(server, waitMillis, responseHeadTimeouts(waitMillis)))
             } catch (abandoned: LeftQueue) {
                 log.record(
                     "left_queue",
@@ -186,14 +180,65 @@
                     "load" to components.tracker.occupancy(server.id).total,
                 )
                 Attempt.Broken(abandoned.message.orEmpty())
-            } catch (failure: HttpFailure.ConnectFailed) {
-                Attempt.NotRun("connect: ${failure.message}")
-            } catch (failure: HttpFailure.Broken) {
+            } catch (failure: HttpFailure) {
+                unsuccessful(server, failure)
+            }
+        }
+
+        private fun unsuccessful(server: BackendServer, failure: HttpFailure): Attempt = when (failure) {
+            is HttpFailure.ConnectFailed -> Attempt.NotRun("connect: ${failure.message}")
+            is HttpFailure.Broken -> {
                 components.tracker.recordOnlineOutcome(server.id, isAnswered = false)
                 Attempt.Broken("broken: ${failure.message}")
             }
         }
 
+        /** Sends the request to [server] and waits until its response begins. */
+        private suspend fun open(
+            server: BackendServer,
+            waitMillis: Double,
+            timeouts: ResponseHeadTimeouts,
+        ): BackendCall {
+            excluded += server.id
+            sendCount++
+            val remainingMillis = request.limitMillis - elapsedMillis(request)
+            val head = BackendRequestHead(server.id, remainingMillis, request.customer?.id?.value, lastEventId)
+            val sentNanos = timer.nanoTime()
+            val call = components.backendCalls.open(
+                server,
+                protocol.backendRequest(request.message, head),
+                request.head.requestId,
+                isBatch = false,
+                requiresFreshConnection = !route.isIdempotent && !route.isResumable,
+                waitMillis = waitMillis,
+                timeouts = timeouts,
+            )
+            if (waitMillis <= 0) components.latencies.recordFirstByte(service, millisSince(sentNanos))
+            sentNanosByServer[server.id] = sentNanos
+            return call
+        }
+
+        private suspend fun read(call: BackendCall): Attempt {
+            val server = call.server
+            return try {
+                call.read { response ->
+                    forwardResponse(response, server).also {
+                        if (it is Attempt.Answered && it.status < 300) {
+                            components.latencies.recordDuration(
+                                service,
+                                millisSince(sentNanosByServer.getValue(server.id)),
+                            )
+                            components.tracker.recordSuccess(server.id)
+                        }
+                        if (it is Attempt.Moved) call.abandon()
+                        if (it !is Attempt.NotRun) components.tracker.recordOnlineOutcome(server.id, isSuccess(it))
+                    }
+                }
+            } catch (failure: HttpFailure) {
+                unsuccessful(server, failure)
+            }
+        }
+
         private fun isSuccess(attempt: Attempt) = attempt is Attempt.Answered && attempt.status < SERVER_ERROR
 
         /**
@@ -221,7 +266,7 @@
                     Attempt.NotRun("server answered ${head.status}, not run")
                 }
                 head.status in 200..299 && !head.hasServerStamp -> throw HttpFailure.Broken("the answer bears no stamp")
-                head.isEventStream && head.status in 200..299 -> forwardStream(response, server)
+                head.isStream -> forwardStream(response, server)
                 else -> forwardWhole(response)
             }
         }
@@ -243,7 +288,8 @@
             if (!reply.isStarted) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
             var waitingSinceNanos = timer.nanoTime()
             while (true) {
-                val bytes = nextBytes(response, server, waitingSinceNanos) ?: break
+                awaitBytesOrMove(response, server, waitingSinceNanos)?.let { return it }
+                val bytes = response.body.next() ?: break
                 for (event in splitter.add(bytes)) {
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
                     if (!deliver(event)) return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
@@ -259,29 +305,75 @@
         }
 
         /**
-         * Reads the next bytes. A resumable stream whose last event arrived [IDLE_LIMIT_MILLIS] ago fails if it can
-         * go on at another server; otherwise a slow stream is better for the caller than none.
+         * Waits for the next bytes. A resumable stream whose last event arrived [IDLE_LIMIT_MILLIS] ago goes on at
+         * another server as soon as that one answers; until then, a slow stream is better for the caller than none.
          */
-        private suspend fun nextBytes(
+        private suspend fun awaitBytesOrMove(
             response: StreamingResponse,
             server: BackendServer,
             waitingSinceNanos: Long,
-        ): ByteArray? {
-            if (!route.isResumable) return response.body.next()
+        ): Attempt.Moved? {
+            if (!route.isResumable) {
+                response.body.awaitNext()
+                return null
+            }
             while (true) {
                 val idleMillis = (timer.nanoTime() - waitingSinceNanos) / NANOS_PER_MILLI
                 if (idleMillis >= IDLE_LIMIT_MILLIS && mayMove(server)) {
-                    throw HttpFailure.Broken("no event for $idleMillis ms")
+                    openElsewhere(response.body)?.let { return Attempt.Moved(it, "no event for $idleMillis ms") }
                 }
                 // After the limit the check repeats, since another server may become free.
                 val waitMillis = (IDLE_LIMIT_MILLIS - idleMillis).coerceAtLeast(IDLE_CHECK_MILLIS)
-                if (withTimeoutOrNull(waitMillis) { response.body.awaitNext() } != null) return response.body.next()
+                if (withTimeoutOrNull(waitMillis) { response.body.awaitNext() } != null) return null
+            }
+        }
+
+        /** The call with which another server goes on with the stream; null if none does before [silent] goes on. */
+        private suspend fun openElsewhere(silent: HttpAnswer): BackendCall? = coroutineScope {
+            var opened: BackendCall? = null
+            var result: BackendCall? = null
+            try {
+                val opening = launch { opened = openNext() }
+                val waiting = launch { silent.awaitNext() }
+                val isOpened = select {
+                    opening.onJoin { true }
+                    waiting.onJoin { false }
+                }
+                waiting.cancel()
+                opening.cancelAndJoin()
+                if (isOpened) result = opened
+                result
+            } finally {
+                if (result == null) opened?.close()
             }
         }
 
+        /** Sends the rest of the stream to the next server; null if it does not go on with it. */
+        private suspend fun openNext(): BackendCall? {
+            val server = (place() as? Placement.Send)?.server ?: return null
+            val call = try {
+                open(server, components.placement.waitMillis(server), ResponseHeadTimeouts())
+            } catch (failure: HttpFailure) {
+                if (unsuccessful(server, failure) is Attempt.Broken) possibleRuns++
+                return null
+            }
+            val head = call.response.head
+            if (head.isStream) return call
+            call.close()
+            if (head.isNotRun) components.tracker.block(server.id, FULL_SERVER_PAUSE_MILLIS) else possibleRuns++
+            log.record(
+                "not_moved",
+                "request_id" to request.head.requestId,
+                "server" to server.id,
+                "status" to head.status,
+                "after_event" to lastEventId,
+            )
+            return null
+        }
+
         /** A server that sends nothing to anybody is left for any other one, a slow one only for a free slot. */
         private fun mayMove(server: BackendServer): Boolean {
-            if (possibleRuns + 1 >= route.maxAttempts) return false
+            if (possibleRuns + 1 >= route.maxAttempts || sendCount >= MAX_SENDS) return false
             // The first event has arrived, so the latency target no longer counts.
             val request = placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE)
             return components.tracker.isStalled(server.id) || components.placement.hasFreeAlternative(request)
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -32,13 +32,16 @@
 
     /**
      * A stream of [events] events, [gapMillis] apart, that begins after [delayMillis]; if [breakAfter] is set, the
-     * connection breaks after that many events.
+     * connection breaks after that many events. If [silentAfter] is set, nothing is sent for [silenceMillis] after that
+     * many events.
      */
     data class Stream(
         val events: Int,
         val gapMillis: Long = 1,
         val breakAfter: Int? = null,
         val delayMillis: Long = 0,
+        val silentAfter: Int? = null,
+        val silenceMillis: Long = 0,
     ) : RunnerBehaviour
 
     /** Selects a behaviour for each request. */
@@ -206,12 +209,9 @@
                 output.send("9\r\nid: $event\n".take(PARTIAL_EVENT_BYTES))
                 return false
             }
+            if (index == behaviour.silentAfter) LockSupport.parkNanos(behaviour.silenceMillis * 1_000_000)
             output.sendChunk("id: $event\ndata: piece $event\n\n")
-            if (behaviour.gapMillis >
-                0
-            ) {
-                LockSupport.parkNanos(behaviour.gapMillis * 1_000_000)
-            }
+            if (behaviour.gapMillis > 0) LockSupport.parkNanos(behaviour.gapMillis * 1_000_000)
         }
         output.send("0\r\n\r\n")
         return true
