Keep the grace period of a stop by the clock, and leave no request unanswered

Cause: the grace period was counted from the moment at which the event loop came to the stop, up to a second after the signal on a busy node, and requests were turned away by a flag that a timer set, 2.5 s before the end. A request with a longer time limit was accepted and then lost with the process. Class of fault: a promise that is kept by the order of events instead of the clock. What callers saw: requests that were sent 3 to 6 s after SIGTERM were passed on and cut within their answer, or got none (LOST). They come while less than half of the nodes of a failure domain are in rotation. Change: the grace period begins at the signal. From the time at which the load balancer has noticed, a request is rejected as not run if its time limit lies beyond the end of the process. What has no answer at the end is told so (504, unknown). Evidence: OnlinePathTest, a planned stop leaves no request without an answer: failed on (the request was accepted and its connection closed), passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/CallerHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/CallerHandler.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.entry
 
 import ragwortbarrow.core.allowance.CustomerRateLimiter
+import ragwortbarrow.core.error.Execution
 import ragwortbarrow.core.error.ResultCode
 import ragwortbarrow.core.error.ServingError
 import ragwortbarrow.core.fleet.FleetMembers
@@ -29,22 +30,29 @@
     private val metrics: EntryMetrics,
     private val log: DecisionLog,
 ) {
-    var inFlight: Int = 0
-        private set
+    private val openReplies = HashSet<HttpReply>()
 
-    /** True near the end of the shutdown grace period, when a new request could not be finished. */
-    var isShuttingDown: Boolean = false
+    val inFlight: Int get() = openReplies.size
+
+    /** Time until this node exits; a request that may take longer is rejected. */
+    var remainingMillis: () -> Long = { Long.MAX_VALUE }
 
     suspend fun handle(message: HttpRequestMessage, reply: HttpReply) {
         val startNanos = timer.nanoTime()
-        inFlight++
+        openReplies += reply
         try {
             serve(message, reply, startNanos)
         } finally {
-            inFlight--
+            openReplies -= reply
         }
     }
 
+    /** Answers the requests that have no response yet, since the process exits before it arrives. */
+    fun failUnanswered() = openReplies.filter { !it.isStarted }.forEach {
+        val message = "the node stopped before the response began"
+        it.sendError(ServingError.BackendFailed(ResultCode.BACKEND_TIMEOUT, message, Execution.UNKNOWN))
+    }
+
     /** Records a request whose connection ended before its response was complete. */
     fun recordUnanswered(unanswered: UnansweredRequest) {
         log.record(
@@ -62,7 +70,6 @@
         val head = protocol.parseHead(message)
         val table = configuration.table
         if (table == null) return reject(head, reply, ResultCode.NO_CONFIGURATION, "no configuration yet", RETRY_MILLIS)
-        if (isShuttingDown) return reject(head, reply, ResultCode.DRAINING, "this node is shutting down", RETRY_MILLIS)
         val operation = protocol.parseOperation(message)
         if (operation != CallerOperation.Routed) return handleJobOperation(operation, head, table, reply)
         val route = table.route(head.host, head.path)
@@ -71,12 +78,18 @@
         if (customer == null && table.requiresKeys && !route.isPublic) {
             return reject(head, reply, ResultCode.KEY_UNKNOWN, "no such key in version ${table.version}")
         }
-        if (route.kind == RouteKind.BATCH) return jobHandler.submit(message, head, route, customer, startNanos, reply)
-        if (customer != null && !admitOrReject(customer, head, reply)) return
         val request = OnlineRequest(message, head, route, customer, startNanos)
-        forwardOnline(request, reply, table.version)
+        val neededMillis = if (route.kind == RouteKind.BATCH) JOB_CALL_MILLIS else request.limitMillis
+        when {
+            remainingMillis() < neededMillis -> rejectDraining(head, reply)
+            route.kind == RouteKind.BATCH -> jobHandler.submit(message, head, route, customer, startNanos, reply)
+            customer == null || admitOrReject(customer, head, reply) -> forwardOnline(request, reply, table.version)
+        }
     }
 
+    private fun rejectDraining(head: CallerRequestHead, reply: HttpReply) =
+        reject(head, reply, ResultCode.DRAINING, "this node is shutting down", RETRY_MILLIS)
+
     private suspend fun forwardOnline(request: OnlineRequest, reply: HttpReply, version: Long) {
         var result: ForwardResult? = null
         try {
@@ -136,6 +149,7 @@
         table: RoutingTable,
         reply: HttpReply,
     ) {
+        if (remainingMillis() < JOB_CALL_MILLIS) return rejectDraining(head, reply)
         val customer = head.key?.let { table.customer(it) }
         if (customer == null && table.requiresKeys) {
             return reject(head, reply, ResultCode.KEY_UNKNOWN, "no such key in version ${table.version}")
@@ -173,6 +187,9 @@
     private companion object {
         const val RETRY_MILLIS = 1_000L
 
+        /** Upper limit of the time that a call about a batch job takes; it includes a write to the platform's store. */
+        const val JOB_CALL_MILLIS = 1_800L
+
         /** Upper limit of `Retry-After`: the default window over which the rate is counted. */
         const val MAX_RETRY_MILLIS = 5_000L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -199,30 +199,33 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
     }
 
-    /** Drains the node and calls [done] when no work is left or the grace period is over. */
+    /** Drains the node and calls [done] when no work is left or the grace period is over, which begins now. */
     fun stop(done: () -> Unit) {
-        loop.execute { scope.launch { drain(done) } }
+        val startNanos = timer.nanoTime()
+        loop.execute { scope.launch { drain(startNanos, done) } }
     }
 
-    private suspend fun drain(done: () -> Unit) {
+    private suspend fun drain(startNanos: Long, done: () -> Unit) {
         if (isDraining) return
         isDraining = true
-        val startNanos = timer.nanoTime()
         fun elapsedMillis() = (timer.nanoTime() - startNanos) / 1_000_000
         log.record("stopping", "in_flight" to callerHandler.inFlight, "connections" to callerServer.openConnections)
         stateExchange.announceLeaving()
         runner.stop()
         callerServer.startClosing()
         val endMillis = settings.stopGraceMillis - STOP_MARGIN_MILLIS
+        callerHandler.remainingMillis = {
+            if (elapsedMillis() < BALANCER_DELAY_MILLIS) Long.MAX_VALUE else endMillis - elapsedMillis()
+        }
         while (elapsedMillis() < endMillis) {
             timer.pause(DRAIN_CHECK_MILLIS)
             if (elapsedMillis() < BALANCER_DELAY_MILLIS) continue
             callerServer.closeIdle()
             val isIdle = callerHandler.inFlight == 0 && callerServer.openConnections == 0 && !runner.hasUnstoredResults
             if (isIdle) break
-            callerHandler.isShuttingDown = elapsedMillis() > settings.stopGraceMillis - REJECT_MARGIN_MILLIS
         }
         log.record("stopped", "in_flight" to callerHandler.inFlight, "drain_ms" to elapsedMillis())
+        callerHandler.failUnanswered()
         done()
     }
 
@@ -411,8 +414,5 @@
 
         /** The process exits this long before the platform would kill it. */
         const val STOP_MARGIN_MILLIS = 700L
-
-        /** New requests are rejected in this last part of the grace period, since they could not be finished. */
-        const val REJECT_MARGIN_MILLIS = 2_500L
     }
 }
