Ask the store who holds the jobs of a node that was out of touch

Cause: a node whose jobs were taken over while it was cut off or paused learned so only from the new holder, which reports the jobs that it still runs. If it had finished a job by then, nobody told the old holder, which went on answering from its own memory; a store that could not be read at that moment ended the check for good. Class of fault: state that is believed after its owner may have changed. A second reason why a job could stand still: a reassignment that was due during another one was dropped. What callers saw: fewer results at one node than they had read at another one (LOST), or items run twice. Change: LostContact notices that another node is back with the same process after the time of a failed one, or that this process was paused; the node then asks the store for the holder of each unfinished job, and again until the store answers. A reassignment during another one follows it. Evidence: JobFailoverTest, a node that was cut off lets go of a job that another node has taken over: failed with the check taken out, passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
@@ -49,6 +49,8 @@
     fun start(initialDelayMillis: Long = INITIAL_DELAY_MILLIS) {
         schedule(initialDelayMillis)
         timer.every(periodMillis) { schedule(0) }
+        val contact = LostContact(members, timer, onRegained = runner::verifyAllHolders)
+        timer.every(CONTACT_CHECK_MILLIS) { contact.check() }
     }
 
     /** Called when the set of reachable nodes has changed. */
@@ -79,7 +81,8 @@
     }
 
     private suspend fun reassignJobs() {
-        if (isReassigning) return
+        // The change that called for this reassignment may have come after the running one read the jobs.
+        if (isReassigning) return schedule(RETRY_MILLIS)
         isReassigning = true
         try {
             val jobs = jobStore.jobs().getOrElse { return retryLater("jobs", it) }
@@ -179,6 +182,8 @@
 
         const val RETRY_MILLIS = 1_000L
 
+        const val CONTACT_CHECK_MILLIS = 500L
+
         /** Half of the time after which a silent holder has failed, since each check reads the jobs from the store. */
         const val SILENT_RETRY_MILLIS = 2_000L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.entry
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -85,12 +86,15 @@
             if (job.isVerifyingHolder) continue
             job.isVerifyingHolder = true
             scope.launch {
-                verifyHolder(job)
+                while (activeJobs[id] === job && !verifyHolder(job)) timer.pause(RETRY_MILLIS)
                 job.isVerifyingHolder = false
             }
         }
     }
 
+    /** Asks the store who holds each unfinished job: while this node was out of touch, others may have taken it over. */
+    fun verifyAllHolders() = verifyHolders(activeJobs.values.filter { !it.log.isComplete }.map { it.job.id })
+
     /**
      * Reads results that the previous holder of [job] may have stored after the takeover. A caller that has read a
      * result from another node must find it on this one too.
@@ -407,10 +411,13 @@
         return isRead
     }
 
-    private suspend fun verifyHolder(job: ActiveJob) {
-        val holder = components.jobStore.state(job.job.id).fold({ it.holder }, { null }) ?: return
+    /** Releases [job] if another node holds it; false if the store can't be read. */
+    private suspend fun verifyHolder(job: ActiveJob): Boolean {
+        val state = components.jobStore.state(job.job.id).getOrElse { return false }
+        val holder = state.holder ?: return true
         val self = JobHolder(components.members.self.vm.value, components.members.self.incarnation)
         if (holder != self && activeJobs[job.job.id] === job) release(job.job.id, holder)
+        return true
     }
 
     /** Stops running a job whose holder is another node according to the store. */
--- /dev/null
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/LostContact.kt
@@ -0,0 +1,42 @@
+package ragwortbarrow.entry
+
+import ragwortbarrow.core.fleet.FleetMembers
+import ragwortbarrow.core.fleet.FleetNode
+import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.monotonicMillis
+
+/**
+ * Detects that this node may have counted as failed: another node was out of contact for as long as a failed one and is
+ * back with the same process, or this process was paused. Calls [onRegained] then.
+ */
+internal class LostContact(
+    private val members: FleetMembers,
+    private val timer: TimerService,
+    private val onRegained: () -> Unit,
+) {
+    private var lost = emptyList<FleetNode>()
+    private var checkedMonotonicMillis = timer.monotonicMillis()
+    private var checkedWallMillis = timer.wallMillis()
+
+    /** To be called several times a second. */
+    fun check() {
+        val isBack = lost.any { members.mayRun(it.vm, it.incarnation) }
+        lost = members.others().filter { members.hasFailed(it.vm, it.incarnation) && !members.isReachable(it.vm) }
+        if (wasPaused() || isBack) onRegained()
+    }
+
+    /** The monotonic clock stands still while a VM is suspended, the wall clock does not. */
+    private fun wasPaused(): Boolean {
+        val monotonicMillis = timer.monotonicMillis()
+        val wallMillis = timer.wallMillis()
+        val pauseMillis = maxOf(monotonicMillis - checkedMonotonicMillis, wallMillis - checkedWallMillis)
+        checkedMonotonicMillis = monotonicMillis
+        checkedWallMillis = wallMillis
+        return pauseMillis > PAUSE_MILLIS
+    }
+
+    private companion object {
+        /** Shorter than the silence after which other nodes take over the jobs of a node. */
+        const val PAUSE_MILLIS = 3_000L
+    }
+}
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobFailoverTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobFailoverTest.kt
@@ -9,10 +9,13 @@
 import ragwortbarrow.core.fleet.RelayPlan
 import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.jobs.JobHolder
+import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.peer.PeerError
 import strikt.api.expectThat
 import strikt.assertions.isFalse
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
 /** Three nodes, of which the second one holds a job and this one is the coordinator. */
@@ -89,6 +92,19 @@
         expectThat(isTakenOver).isTrue()
     }
 
+    /** The node that took the job over may have finished it by then, and reports only what it still runs. */
+    @Test
+    fun `a node that was cut off lets go of a job that another node has taken over`() {
+        fixture.runner.startJob(fixture.job(items = 4), ResultLog(4))
+        failover.start()
+        advance(millis = 5_000, isHolderHeard = false)
+        val taken = JobHolder(other.vm.value, other.incarnation)
+        fixture.scope.launch { fixture.jobStore.updateState("job") { it.copy(holder = taken) } }
+        fixture.dispatcher.runQueued()
+        advance(millis = 1_000, isHolderHeard = true)
+        expectThat(fixture.runner.activeJob("job")).isNull()
+    }
+
     private companion object {
         const val STEP_MILLIS = 100
     }
