Decide a stream's move by its events, and count the servers that were asked in vain

The search for another server ended with the next byte of the silent one, also when that byte was no event or the end of its connection; a search that was cancelled was not counted, although its server may have run the request; the head of a response, without anything behind it, closed the silent one; a call that was opened at the moment of a cancellation stayed open. What callers saw: a stream that sends comments only did not move and used up its sends; a stream whose silent server broke was cut or sent to a third one; a server that pauses again and again led the request to more servers than its route allows (BUDGET). Change: StreamMove runs beside the reading of events. An event ends the search, a broken server waits for it, bytes of another server end the silent response. What was asked in vain counts as a possible run.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -1,6 +1,8 @@
 package ragwortbarrow.entry
 
-import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
@@ -70,8 +72,12 @@
     suspend fun forward(request: OnlineRequest, reply: HttpReply): ForwardResult {
         val forwarding = Forwarding(request, reply)
         val remainingMillis = request.limitMillis - elapsedMillis(request)
-        val result = withTimeoutOrNull(remainingMillis.coerceAtLeast(0)) { forwarding.run() }
-        return result ?: forwarding.failWithTimeout()
+        try {
+            val result = withTimeoutOrNull(remainingMillis.coerceAtLeast(0)) { forwarding.run() }
+            return result ?: forwarding.failWithTimeout()
+        } finally {
+            forwarding.close()
+        }
     }
 
     private fun elapsedMillis(request: OnlineRequest) = (timer.nanoTime() - request.startNanos) / NANOS_PER_MILLI
@@ -96,6 +102,9 @@
         private val excluded = HashSet<BackendServerId>()
         private var lastEventId = request.head.lastEventId
         private var sendCount = 0
+
+        /** The response with which another server goes on with the stream, until it is read. */
+        private var openedCall: BackendCall? = null
         private var possibleRuns = 0
         private val sentNanosByServer = HashMap<BackendServerId, Long>()
         private var lastServer: BackendServerId? = null
@@ -130,6 +139,11 @@
             }
         }
 
+        /** Closes a response that is not read to its end; without effect on one that was. */
+        fun close() {
+            openedCall?.close()
+        }
+
         fun failWithTimeout(): ForwardResult {
             lastReason = "no complete response within ${request.limitMillis} ms"
             return fail(ResultCode.BACKEND_TIMEOUT, null)
@@ -142,7 +156,7 @@
                 remainingTargetMillis = (route.targetLatencyMillis - elapsedMillis).toDouble(),
                 remainingDeadlineMillis = request.limitMillis - elapsedMillis,
                 excludedServers = excluded,
-                isRefusable = possibleRuns == 0,
+                isRefusable = possibleRuns == 0 && !reply.isStarted,
             )
         }
 
@@ -283,83 +297,115 @@
             return Attempt.Answered(response.head.status)
         }
 
-        private suspend fun forwardStream(response: StreamingResponse, server: BackendServer): Attempt {
+        private suspend fun forwardStream(response: StreamingResponse, server: BackendServer): Attempt =
+            coroutineScope {
+                if (!reply.isStarted) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
+                val move = StreamMove(this, server)
+                try {
+                    forwardEvents(response, move)
+                } catch (failure: HttpFailure.Broken) {
+                    move.finish()?.let { Attempt.Moved(it, failure.message.orEmpty()) } ?: throw failure
+                } finally {
+                    move.cancel()
+                }
+            }
+
+        private suspend fun forwardEvents(response: StreamingResponse, move: StreamMove): Attempt {
             val splitter = EventSplitter()
-            if (!reply.isStarted) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
             var waitingSinceNanos = timer.nanoTime()
             while (true) {
-                awaitBytesOrMove(response, server, waitingSinceNanos)?.let { return it }
+                if (!move.awaitNext(response.body, waitingSinceNanos)) {
+                    move.finish()?.let {
+                        return Attempt.Moved(it, "no event for ${millisSince(waitingSinceNanos).toLong()} ms")
+                    }
+                    continue
+                }
                 val bytes = response.body.next() ?: break
                 for (event in splitter.add(bytes)) {
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
                     if (!deliver(event)) return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
-                    if (event.id != null) waitingSinceNanos = timer.nanoTime()
+                    if (event.id == null) continue
+                    waitingSinceNanos = timer.nanoTime()
+                    move.cancel()
                 }
                 val beforeNanos = timer.nanoTime()
                 reply.awaitWritable()
                 waitingSinceNanos += timer.nanoTime() - beforeNanos
             }
-            if (splitter.hasPartialEvent) return Attempt.Broken("the stream ended within an event")
+            if (splitter.hasPartialEvent) throw HttpFailure.Broken("the stream ended within an event")
             reply.end()
             return Attempt.Answered(response.head.status)
         }
 
         /**
-         * Waits for the next bytes. A resumable stream whose last event arrived [IDLE_LIMIT_MILLIS] ago goes on at
-         * another server as soon as that one answers; until then, a slow stream is better for the caller than none.
+         * The search for another server that goes on with a resumable stream while its [server] is silent. The server
+         * may send an event at any time, so its response is left only when another one has sent bytes of its own.
          */
-        private suspend fun awaitBytesOrMove(
-            response: StreamingResponse,
-            server: BackendServer,
-            waitingSinceNanos: Long,
-        ): Attempt.Moved? {
-            if (!route.isResumable) {
-                response.body.awaitNext()
-                return null
-            }
-            while (true) {
-                val idleMillis = (timer.nanoTime() - waitingSinceNanos) / NANOS_PER_MILLI
-                if (idleMillis >= IDLE_LIMIT_MILLIS && mayMove(server)) {
-                    openElsewhere(response.body)?.let { return Attempt.Moved(it, "no event for $idleMillis ms") }
+        private inner class StreamMove(private val scope: CoroutineScope, private val server: BackendServer) {
+            private var search: Deferred<BackendCall?>? = null
+
+            /**
+             * Waits until [body] has bytes, has ended or has failed. Returns false if the search has ended before that.
+             * It begins when the last event arrived [IDLE_LIMIT_MILLIS] ago and is repeated while the server is silent.
+             */
+            suspend fun awaitNext(body: HttpAnswer, waitingSinceNanos: Long): Boolean {
+                if (!route.isResumable) {
+                    body.awaitNext()
+                    return true
+                }
+                while (true) {
+                    val idleMillis = (timer.nanoTime() - waitingSinceNanos) / NANOS_PER_MILLI
+                    if (search == null && idleMillis >= IDLE_LIMIT_MILLIS && mayMove(server)) {
+                        search = scope.async { openNext() }
+                    }
+                    val current = search
+                    if (current != null) return awaitFirst(body, current)
+                    // After the limit the check repeats, since another server may become free.
+                    val waitMillis = (IDLE_LIMIT_MILLIS - idleMillis).coerceAtLeast(IDLE_CHECK_MILLIS)
+                    if (withTimeoutOrNull(waitMillis) { body.awaitNext() } != null) return true
                 }
-                // After the limit the check repeats, since another server may become free.
-                val waitMillis = (IDLE_LIMIT_MILLIS - idleMillis).coerceAtLeast(IDLE_CHECK_MILLIS)
-                if (withTimeoutOrNull(waitMillis) { response.body.awaitNext() } != null) return null
             }
-        }
 
-        /** The call with which another server goes on with the stream; null if none does before [silent] goes on. */
-        private suspend fun openElsewhere(silent: HttpAnswer): BackendCall? = coroutineScope {
-            var opened: BackendCall? = null
-            var result: BackendCall? = null
-            try {
-                val opening = launch { opened = openNext() }
-                val waiting = launch { silent.awaitNext() }
-                val isOpened = select {
-                    opening.onJoin { true }
-                    waiting.onJoin { false }
-                }
-                waiting.cancel()
-                opening.cancelAndJoin()
-                if (isOpened) result = opened
-                result
-            } finally {
-                if (result == null) opened?.close()
+            /** Returns whether [body] had something to read before [search] had ended. */
+            private suspend fun awaitFirst(body: HttpAnswer, search: Deferred<*>): Boolean = coroutineScope {
+                val waiting = launch { body.awaitNext() }
+                select {
+                    search.onJoin { false }
+                    waiting.onJoin { true }
+                }.also { waiting.cancel() }
+            }
+
+            /** Ends the search and returns the call of the server that goes on with the stream, if there is one. */
+            suspend fun finish(): BackendCall? = search?.await().also { search = null }
+
+            /** Ends the search because the stream goes on where it is. */
+            fun cancel() {
+                val current = search ?: return
+                search = null
+                if (!current.isCompleted || openedCall != null) possibleRuns++
+                current.cancel()
+                openedCall?.close()
+                openedCall = null
             }
         }
 
         /** Sends the rest of the stream to the next server; null if it does not go on with it. */
         private suspend fun openNext(): BackendCall? {
-            val server = (place() as? Placement.Send)?.server ?: return null
+            val placed = place() as? Placement.Send ?: return null
+            if (placed.waitMillis > 0) onSlotNeeded(placed.server)
+            val server = placed.server
             val call = try {
-                open(server, components.placement.waitMillis(server), ResponseHeadTimeouts())
+                open(server, placed.waitMillis, ResponseHeadTimeouts())
             } catch (failure: HttpFailure) {
                 if (unsuccessful(server, failure) is Attempt.Broken) possibleRuns++
                 return null
             }
+            openedCall = call
             val head = call.response.head
-            if (head.isStream) return call
+            if (head.isStream) call.response.body.awaitNext()
+            if (head.isStream && call.response.body.hasBytes) return call
             call.close()
+            openedCall = null
             if (head.isNotRun) components.tracker.block(server.id, FULL_SERVER_PAUSE_MILLIS) else possibleRuns++
             log.record(
                 "not_moved",
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -92,7 +92,7 @@
         }
     }
 
-    /** Asks the store who holds each unfinished job: while this node was out of touch, others may have taken it over. */
+    /** Asks the store who holds each unfinished job, since other nodes may have taken it over. */
     fun verifyAllHolders() = verifyHolders(activeJobs.values.filter { !it.log.isComplete }.map { it.job.id })
 
     /**
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -25,6 +25,9 @@
 
     internal val hasHead: Boolean get() = head.isCompleted
 
+    /** Whether [next] returns bytes at once. */
+    val hasBytes: Boolean get() = chunks.isNotEmpty()
+
     /** Waits for the status and headers. Throws [HttpFailure.Broken] if the connection fails before they arrive. */
     suspend fun head(): HttpResponse = head.await()
 
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -205,11 +205,11 @@
         output.send(streamHead(request))
         val first = (request.header("Last-Event-Id")?.toInt() ?: 0) + 1
         for ((index, event) in (first..behaviour.events).withIndex()) {
+            if (index == behaviour.silentAfter) LockSupport.parkNanos(behaviour.silenceMillis * 1_000_000)
             if (index == behaviour.breakAfter) {
                 output.send("9\r\nid: $event\n".take(PARTIAL_EVENT_BYTES))
                 return false
             }
-            if (index == behaviour.silentAfter) LockSupport.parkNanos(behaviour.silenceMillis * 1_000_000)
             output.sendChunk("id: $event\ndata: piece $event\n\n")
             if (behaviour.gapMillis > 0) LockSupport.parkNanos(behaviour.gapMillis * 1_000_000)
         }
