--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -2,12 +2,14 @@
 
 import com.sun.net.httpserver.HttpExchange
 import com.sun.net.httpserver.HttpServer
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.JsonUnquotedLiteral
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
@@ -32,6 +34,8 @@
         val createdRev: Long,
         val spec: JsonElement,
         val status: JsonElement,
+        /** Listed in place of the other fields. */
+        val document: JsonElement? = null,
     )
 
     private class Change(val rev: Long, val kind: String, val stored: Stored, val isDeleted: Boolean)
@@ -78,6 +82,19 @@
         synchronized(monitor) { store(kind, name, spec, kinds[kind]?.get(name)?.status ?: JsonNull) }
     }
 
+    /** Writes an object whose spec is [text] as it stands, like another writer that may store anything. */
+    fun putText(kind: String, name: String, text: String) {
+        synchronized(monitor) { store(kind, name, rawJson(text), JsonNull) }
+    }
+
+    /** Writes an object that is listed as [text] in place of its metadata, spec and status. */
+    fun putDocument(kind: String, name: String, text: String) {
+        synchronized(monitor) { store(kind, name, JsonNull, JsonNull, document = rawJson(text)) }
+    }
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun rawJson(text: String) = JsonUnquotedLiteral(text)
+
     /** Writes the entry of a backend server, like the server itself. */
     fun putServer(id: String, address: String, zone: String, state: String = "ready", service: String = "engines") {
         val entry = buildJsonObject {
@@ -135,7 +152,7 @@
         respond(exchange, status, document)
     }
 
-    private fun read(kind: String, name: String?, query: Map<String, String>): Pair<Int, JsonObject> = when {
+    private fun read(kind: String, name: String?, query: Map<String, String>): Pair<Int, JsonElement> = when {
         name != null -> synchronized(monitor) { kinds[kind]?.get(name) }?.let { 200 to it.document() }
             ?: (404 to JsonObject(emptyMap()))
         "watch" in query -> watch(kind, query.getValue("watch").toLong(), query["wait_ms"]?.toLong() ?: 0)
@@ -149,7 +166,7 @@
         put("store_revision", revision)
     }
 
-    private fun watch(kind: String, from: Long, waitMillis: Long): Pair<Int, JsonObject> = synchronized(monitor) {
+    private fun watch(kind: String, from: Long, waitMillis: Long): Pair<Int, JsonElement> = synchronized(monitor) {
         val until = System.nanoTime() + waitMillis * 1_000_000
         while (true) {
             if (from < oldestKept) return 410 to JsonObject(emptyMap())
@@ -177,13 +194,13 @@
         put("store_revision", revision)
     }
 
-    private fun create(kind: String, body: JsonObject): Pair<Int, JsonObject> {
+    private fun create(kind: String, body: JsonObject): Pair<Int, JsonElement> {
         val name = body.getValue("metadata").jsonObject.getValue("name").jsonPrimitive.content
         kinds[kind]?.get(name)?.let { return 409 to it.document() }
         return 200 to store(kind, name, body["spec"] ?: JsonNull, JsonNull).document()
     }
 
-    private fun replace(kind: String, name: String, part: String?, body: JsonObject): Pair<Int, JsonObject> {
+    private fun replace(kind: String, name: String, part: String?, body: JsonObject): Pair<Int, JsonElement> {
         val before = kinds[kind]?.get(name) ?: return 404 to JsonObject(emptyMap())
         val expected = (body["metadata"] as? JsonObject)?.get("rev")?.jsonPrimitive?.longOrNull
         if (expected != null && expected != before.rev) return 409 to before.document()
@@ -193,17 +210,23 @@
         return 200 to store(kind, name, spec, status).document()
     }
 
-    private fun deleteIf(kind: String, name: String, expected: Long?): Pair<Int, JsonObject> {
+    private fun deleteIf(kind: String, name: String, expected: Long?): Pair<Int, JsonElement> {
         val before = kinds[kind]?.get(name) ?: return 404 to JsonObject(emptyMap())
         if (expected != null && expected != before.rev) return 409 to before.document()
         delete(kind, name)
         return 200 to before.document()
     }
 
-    private fun store(kind: String, name: String, spec: JsonElement, status: JsonElement): Stored {
+    private fun store(
+        kind: String,
+        name: String,
+        spec: JsonElement,
+        status: JsonElement,
+        document: JsonElement? = null,
+    ): Stored {
         val objects = kinds.getOrPut(kind) { TreeMap() }
         val rev = ++revision
-        val stored = Stored(name, rev, objects[name]?.createdRev ?: rev, spec, status)
+        val stored = Stored(name, rev, objects[name]?.createdRev ?: rev, spec, status, document)
         objects[name] = stored
         history += Change(rev, kind, stored, isDeleted = false)
         monitor.notifyAll()
@@ -217,7 +240,7 @@
         monitor.notifyAll()
     }
 
-    private fun Stored.document() = buildJsonObject {
+    private fun Stored.document(): JsonElement = document ?: buildJsonObject {
         putJsonObject("metadata") {
             put("name", name)
             put("rev", rev)
@@ -229,7 +252,7 @@
         put("status", status)
     }
 
-    private fun respond(exchange: HttpExchange, status: Int, document: JsonObject) {
+    private fun respond(exchange: HttpExchange, status: Int, document: JsonElement) {
         val bytes = document.toString().encodeToByteArray()
         exchange.responseHeaders.set("Content-Type", "application/json")
         exchange.sendResponseHeaders(status, bytes.size.toLong())
