--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.util.NetUtil
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.InetSocketAddress
@@ -66,6 +67,11 @@
     }
 
     private suspend fun connect(address: String): HttpClientConnection = suspendCancellableCoroutine { continuation ->
+        val socketAddress = socketAddressOrNull(address)
+        if (socketAddress == null) {
+            continuation.resumeWithException(HttpFailure.ConnectFailed("'$address' is not IP:PORT"))
+            return@suspendCancellableCoroutine
+        }
         var connection: HttpClientConnection? = null
         val bootstrap = Bootstrap()
             .group(loop)
@@ -88,7 +94,7 @@
                     )
                 }
             })
-        val connectFuture = bootstrap.connect(socketAddress(address))
+        val connectFuture = bootstrap.connect(socketAddress)
         connectFuture.addListener {
             val created = connection
             when {
@@ -121,4 +127,18 @@
 
 /** Parses `IP:PORT`. The host must be an IP address, so that no DNS lookup blocks the event loop. */
 fun socketAddress(address: String): InetSocketAddress =
-    InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+    requireNotNull(parseSocketAddress(address, LOWEST_BOUND_PORT)) { "'$address' is not IP:PORT" }
+
+/** Parses the `IP:PORT` of another process; null if [address] is none that can be called. */
+fun socketAddressOrNull(address: String): InetSocketAddress? = parseSocketAddress(address, LOWEST_CALLED_PORT)
+
+private fun parseSocketAddress(address: String, lowestPort: Int): InetSocketAddress? {
+    val host = NetUtil.createInetAddressFromIpAddressString(address.substringBeforeLast(':', ""))
+    val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in lowestPort..HIGHEST_PORT }
+    return if (host == null || port == null) null else InetSocketAddress(host, port)
+}
+
+/** Port 0 stands for any free one when a server is bound, and is never called. */
+private const val LOWEST_BOUND_PORT = 0
+private const val LOWEST_CALLED_PORT = 1
+private const val HIGHEST_PORT = 65_535
