Pass on to peers only what is used of usable entries

Cause: nodes kept whole entries of backend servers, and sent all of them to nodes that were behind. What callers saw: entries of other writers of some 1 MB in all make the list larger than a message between nodes may be, and nodes that do not watch the store would not learn of another change. Names in lines are cut.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -36,12 +36,12 @@
     var revision: Long = 0
         private set
 
-    /** The list as sent to peers with an older revision. */
+    /** The usable entries as sent to peers with an older revision. */
     val snapshot: Snapshot
         get() = Snapshot(
             revision,
             JsonArray(
-                entries.values.map {
+                entries.values.filter { decode(it) != null }.map {
                     JsonObject(
                         mapOf(
                             "name" to JsonPrimitive(it.name),
@@ -65,18 +65,22 @@
             if (listing == listingCount) missing.filter { entries[it]?.version == 0L }.forEach { remove(it, revision) }
         }
         for (name in missing) entries.computeIfPresent(name) { _, entry -> entry.copy(version = 0L) }
-        log.record("backend_servers_missing", "servers" to missing.joinToString(","), "kept_ms" to retentionMillis)
+        log.record(
+            "backend_servers_missing",
+            "servers" to missing.joinToString(",", transform = ::loggedName),
+            "kept_ms" to retentionMillis,
+        )
     }
 
     fun update(entry: StoredObject) {
         put(entry)
-        publish("changed ${entry.name}")
+        publish("changed ${loggedName(entry.name)}")
     }
 
     fun remove(name: String, atRevision: Long) {
         if (entries.remove(name) == null) return
         revision = maxOf(revision, atRevision)
-        publish("removed $name")
+        publish("removed ${loggedName(name)}")
     }
 
     /** Adopts a peer's list if it is newer, while this node's own watch is behind. */
@@ -100,8 +104,14 @@
         if (previous != null && previous.version > entry.version) return
         entries[entry.name] = entry
         revision = maxOf(revision, entry.version)
+        if (decode(entry) == null && (previous == null || decode(previous) != null)) {
+            log.record("backend_server_unusable", "server" to loggedName(entry.name), "revision" to entry.version)
+        }
     }
 
+    /** Names of entries that other writers leave may have any length. */
+    private fun loggedName(name: String) = name.take(MAX_LOGGED_NAME_LENGTH)
+
     private fun publish(reason: String) {
         val servers = entries.values.mapNotNull(decode)
         tracker.replace(servers)
@@ -114,4 +124,8 @@
             "usable" to servers.count { !it.isDraining },
         )
     }
+
+    private companion object {
+        const val MAX_LOGGED_NAME_LENGTH = 64
+    }
 }
