Leave out entry nodes and batch jobs of other writers

Cause: entries of entry nodes, jobs and states were decoded with functions that throw, within the coroutine that handles the list. Class of fault: one object of a list ends the work on all of them. What callers saw: with one odd entry among the entry nodes, a node that starts joined no other; with one odd job or state, no job was taken over from a lost node; a read of such a job ended with status 500. Change: what cannot be decoded is left out of lists with one line for each object; a single object that cannot be decoded is an error of the store (503), and is not asked for again each second.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
@@ -3,9 +3,11 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.decodeFromJsonElement
 import kotlinx.serialization.json.encodeToJsonElement
@@ -17,25 +19,41 @@
 import ragwortbarrow.core.store.listAll
 import ragwortbarrow.core.store.storeJson
 
-/** Stores batch jobs, their states and their results in the platform's store. */
-class JobStore(private val store: ObjectStore, private val writer: IdempotentWriter) {
+/**
+ * Stores batch jobs, their states and their results in the platform's store. Lists leave out objects of other writers
+ * that cannot be read; [onUnreadable] is called with each of them, once.
+ */
+class JobStore(
+    private val store: ObjectStore,
+    private val writer: IdempotentWriter,
+    private val onUnreadable: (StoredObject, reason: String?) -> Unit = { _, _ -> },
+) {
+    private val unreadable = HashSet<Pair<ObjectKind, String>>()
+
     /** Stores [job]; fails with [StoreError.AlreadyExists] if a job with this id already exists. */
     suspend fun create(job: BatchJob): Result<Unit, StoreError> =
         writer.create(ObjectKind.ENTRY_JOBS, job.id, storeJson.encodeToJsonElement(job) as JsonObject).map { }
 
     suspend fun job(id: String): Result<BatchJob, StoreError> =
-        store.get(ObjectKind.ENTRY_JOBS, id).map { storeJson.decodeFromJsonElement<BatchJob>(it.spec) }
+        store.get(ObjectKind.ENTRY_JOBS, id).andThen { it.decode<BatchJob>() }
 
     suspend fun jobs(): Result<List<BatchJob>, StoreError> = store.listAll(ObjectKind.ENTRY_JOBS).map { (objects, _) ->
-        objects.map { storeJson.decodeFromJsonElement<BatchJob>(it.spec) }
+        objects.mapNotNull { it.decodeOrReport<BatchJob>() }
     }
 
     /** The states of all jobs that have one, by job id. */
     suspend fun states(): Result<Map<String, JobState>, StoreError> =
-        store.listAll(ObjectKind.ENTRY_JOB_STATES).map { (objects, _) -> objects.associate { it.name to it.state() } }
+        store.listAll(ObjectKind.ENTRY_JOB_STATES).map { (objects, _) ->
+            objects.mapNotNull { stored ->
+                stored.decodeOrReport<JobState>()?.let {
+                    stored.name to
+                        it
+                }
+            }.toMap()
+        }
 
     /** The state of a job; the default state if it was never taken over, cancelled or finished. */
-    suspend fun state(id: String): Result<JobState, StoreError> = storedState(id).map { it?.state() ?: JobState() }
+    suspend fun state(id: String): Result<JobState, StoreError> = storedState(id).andThen { it.decodeState() }
 
     /**
      * Atomically updates the state of a job with [change], retrying after conflicts. Returns the resulting state, which
@@ -45,7 +63,7 @@
         var failure: StoreError = StoreError.Conflict("concurrent updates of the state of job $id")
         repeat(MAX_ATTEMPTS) {
             val current = storedState(id).getOrElse { return Err(it) }
-            val before = current?.state() ?: JobState()
+            val before = current.decodeState().getOrElse { return Err(it) }
             val after = change(before) ?: return Ok(before)
             if (after == before) return Ok(before)
             val spec = storeJson.encodeToJsonElement(after) as JsonObject
@@ -75,7 +93,7 @@
             val chunk = store.get(ObjectKind.ENTRY_RESULTS, chunkName(id, number)).getOrElse {
                 return if (it is StoreError.NotFound) Ok(Unit) else Err(it)
             }
-            log.add(number, storeJson.decodeFromJsonElement<ResultChunk>(chunk.spec))
+            log.add(number, chunk.decode<ResultChunk>().getOrElse { return Err(it) })
         }
         return Ok(Unit)
     }
@@ -86,12 +104,26 @@
             { if (it is StoreError.NotFound) Ok(null) else Err(it) },
         )
 
-    private fun StoredObject.state() = storeJson.decodeFromJsonElement<JobState>(spec)
+    private fun StoredObject?.decodeState(): Result<JobState, StoreError> = this?.decode<JobState>() ?: Ok(JobState())
+
+    private inline fun <reified T> StoredObject.decode(): Result<T, StoreError> = try {
+        Ok(storeJson.decodeFromJsonElement<T>(spec))
+    } catch (malformed: SerializationException) {
+        Err(StoreError.Rejected("the object is not readable: ${malformed.message?.take(MAX_REASON_LENGTH)}"))
+    }
+
+    private inline fun <reified T> StoredObject.decodeOrReport(): T? = decode<T>().getOrElse {
+        if (unreadable.add(kind to name)) onUnreadable(this, it.message)
+        null
+    }
 
     private fun chunkName(id: String, number: Int) = "$id.$number"
 
     private companion object {
         /** Up to three nodes update a state concurrently: the holder, one that cancels and one that takes over. */
         const val MAX_ATTEMPTS = 6
+
+        /** Messages of the decoder quote the object. */
+        const val MAX_REASON_LENGTH = 100
     }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -14,10 +14,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.intOrNull
-import kotlinx.serialization.json.jsonPrimitive
-import kotlinx.serialization.json.longOrNull
 import ragwortbarrow.core.allowance.CustomerRateLimiter
 import ragwortbarrow.core.fleet.FleetMembers
 import ragwortbarrow.core.fleet.FleetNode
@@ -28,8 +24,6 @@
 import ragwortbarrow.core.fleet.RelayPlan
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.fleet.SnapshotKind
-import ragwortbarrow.core.ids.FailureDomainId
-import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.jobs.JobStore
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
@@ -100,7 +94,7 @@
 
     private val store = this.platform.store
     private val writer = IdempotentWriter(store, timer, "${self.vm}/${self.incarnation}")
-    private val jobStore = JobStore(store, writer)
+    private val jobStore = JobStore(store, writer, ::logUnreadable)
     private val protocol = this.platform.protocol
     private val pool = HttpClientPool(loop) { metrics.increment("connections_opened") }
     private val backendCalls = BackendCalls(pool, tracker, protocol)
@@ -315,14 +309,7 @@
      * of two nodes that start at the same time at least one sees the other.
      */
     private suspend fun register() {
-        val spec = JsonObject(
-            mapOf(
-                "address" to JsonPrimitive(self.address),
-                "incarnation" to JsonPrimitive(self.incarnation),
-                "failureDomain" to JsonPrimitive(self.failureDomain.value),
-                "capacityMillis" to JsonPrimitive(self.capacityMillicores),
-            ),
-        )
+        val spec = encodeEntryNode(self)
         while (!(tryRegister(spec) && loadMembers())) timer.pause(REGISTER_RETRY_MILLIS)
     }
 
@@ -336,17 +323,19 @@
 
     private suspend fun loadMembers(): Boolean {
         val listed = store.listAll(ObjectKind.ENTRY_NODES).getOrElse { return false }
-        listed.items.mapNotNull { it.toNode() }.forEach { stateExchange.members.addMember(it) }
+        for (stored in listed.items) {
+            val node = decodeEntryNode(stored)
+            if (node != null) stateExchange.members.addMember(node) else logUnreadable(stored, "not an entry node")
+        }
         return true
     }
 
-    private fun StoredObject.toNode(): FleetNode? {
-        val address = spec["address"]?.jsonPrimitive?.content ?: return null
-        val incarnation = spec["incarnation"]?.jsonPrimitive?.longOrNull ?: return null
-        val domain = spec["failureDomain"]?.jsonPrimitive?.content.orEmpty()
-        val capacityMillicores = spec["capacityMillis"]?.jsonPrimitive?.intOrNull ?: 0
-        return FleetNode(VmId(name), address, incarnation, FailureDomainId(domain), capacityMillicores)
-    }
+    private fun logUnreadable(stored: StoredObject, reason: String?) = log.record(
+        "stored_object_unreadable",
+        "kind" to stored.kind.path,
+        "name" to stored.name.take(MAX_LOGGED_NAME_LENGTH),
+        "reason" to reason,
+    )
 
     private fun registerGauges() {
         metrics.registerGauge("requests.in.flight", "Requests of callers that are being served") {
@@ -394,6 +383,9 @@
 
         const val REGISTER_RETRY_MILLIS = 1_000L
 
+        /** Names of objects that other writers leave may have any length. */
+        const val MAX_LOGGED_NAME_LENGTH = 64
+
         /** Interval of the `summary` log line. */
         const val SUMMARY_MILLIS = 10_000L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
@@ -128,13 +128,13 @@
 
     /**
      * Takes over those of [jobs] that do not run on this node, unless they have a running holder according to the
-     * store. Retries those for which the store is unreachable.
+     * store. Retries those for which the store is unreachable, not those that cannot be read.
      */
     suspend fun ensureRunning(jobs: List<String>) {
         val failed = jobs.filter { id ->
             val error = ensureRunning(id).fold({ null }, { it })
             if (error != null) log.record("job_not_checked", "job" to id, "reason" to error)
-            error != null && error !is StoreError.NotFound
+            error != null && error !is StoreError.NotFound && error !is StoreError.Rejected
         }
         if (failed.isNotEmpty()) timer.once(RETRY_MILLIS) { scope.launch { ensureRunning(failed) } }
     }
