Pass on no answer that only looks like a refusal

Cause: a server's 503, 429 or 408 was passed on unchanged, also without the header that says that the request did not run. What callers saw: a status that promises "not run" for a request that ran, and they sent it again. Change: such an answer counts as a failure after which the request may have run: 502, or another attempt where it may be repeated. Evidence: RepeatedRefusalTest, an answer that only looks like a refusal: failed before for all three, passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -234,6 +234,10 @@
                     possibleRuns + 1 < route.maxAttempts
             if (mayRepeat) return Attempt.Broken("server answered ${response.head.status}")
             if (reply.isStarted) return Attempt.Broken("server answered ${response.head.status} to a resumed stream")
+            // The head does not state that the request did not run, and callers would read that from the status alone.
+            if (response.head.status in NOT_RUN_STATUSES) {
+                return Attempt.Broken("server answered ${response.head.status} without stating that it did not run")
+            }
             reply.whole(response.head.status, protocol.endToEndHeaders(response.httpResponse), body)
             return Attempt.Answered(response.head.status)
         }
@@ -349,6 +353,9 @@
 
         const val RETRY_AFTER_MILLIS = 1_000L
         const val SERVER_ERROR = 500
+
+        /** Statuses that callers take as a promise that the request has not run and never will. */
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
         const val SERVICE_UNAVAILABLE = 503
     }
 }
