Let only a continuation follow in a stream that has begun

Cause: after a stream broke off, whatever stream came next was joined to it. Events without ids were passed on, a run that began again at 1 was cut to what was missing, and a response without events ended the stream as complete. A stream on an idempotent route was begun again although its caller had a part of it. Whole answers, errors too, were already kept out. What callers saw: text of an error among their events, events of two runs, events twice, or an end before the last event. Change: a resumed stream has to go on with the event after the last one, all its data has ids, and it has an event; else it counts as broken, and the response is aborted when no attempt is left. What cannot be resumed by ids is not retried once it has begun. A stream that broke off after its last event and before its end is now cut too; its caller resumes it and gets the end.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/EventSplitter.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EventSplitter.kt
@@ -3,8 +3,11 @@
 import ragwortbarrow.http.HttpFailure
 import java.io.ByteArrayOutputStream
 
-/** A server-sent event: its bytes as received, its id, and its data lines joined by line feeds. */
-class StreamEvent(val bytes: ByteArray, val id: Long?, val data: String)
+/**
+ * A server-sent event: its bytes as received, its id, and its data lines joined by line feeds. Comments have no id and
+ * not [hasData].
+ */
+class StreamEvent(val bytes: ByteArray, val id: Long?, val data: String, val hasData: Boolean)
 
 /**
  * Splits a stream of bytes into server-sent events and buffers the bytes of an incomplete event, which may have up to
@@ -52,7 +55,7 @@
                 "data" -> data = data?.append('\n')?.append(value) ?: StringBuilder(value)
             }
         }
-        return StreamEvent(bytes, id, data?.toString().orEmpty())
+        return StreamEvent(bytes, id, data?.toString().orEmpty(), hasData = data != null)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -17,7 +17,6 @@
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.traffic.CustomerAccount
 import ragwortbarrow.core.traffic.Route
-import ragwortbarrow.core.traffic.RouteKind
 import ragwortbarrow.http.HttpFailure
 import ragwortbarrow.http.HttpReply
 import ragwortbarrow.http.HttpRequestMessage
@@ -87,6 +86,9 @@
         private val service = route.service(Random.nextDouble())
         private val excluded = HashSet<BackendServerId>()
         private var lastEventId = request.head.lastEventId
+
+        /** Whether the caller has data whose place in the stream no id tells, so that nothing can follow a break. */
+        private var hasUnnumberedData = false
         private var sendCount = 0
         private var possibleRuns = 0
         private var lastServer: BackendServerId? = null
@@ -244,13 +246,17 @@
 
         private suspend fun forwardStream(response: StreamingResponse, server: BackendServer): Attempt {
             val splitter = EventSplitter()
-            if (!reply.isStarted) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
+            val isContinuation = reply.isStarted
+            val lastEventIdBefore = lastEventId
+            if (!isContinuation) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
             var waitingSinceNanos = timer.nanoTime()
             while (true) {
                 val bytes = nextBytes(response, server, waitingSinceNanos) ?: break
                 for (event in splitter.add(bytes)) {
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
-                    if (!deliver(event)) return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
+                    if (!deliver(event, isContinuation)) {
+                        return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
+                    }
                     if (event.id != null) waitingSinceNanos = timer.nanoTime()
                 }
                 val beforeNanos = timer.nanoTime()
@@ -258,6 +264,10 @@
                 waitingSinceNanos += timer.nanoTime() - beforeNanos
             }
             if (splitter.hasPartialEvent) return Attempt.Broken("the stream ended within an event")
+            // Such a response does not show that the broken stream had sent its last event.
+            if (isContinuation && lastEventId == lastEventIdBefore) {
+                return Attempt.Broken("the resumed stream has no event")
+            }
             reply.end()
             return Attempt.Answered(response.head.status)
         }
@@ -285,17 +295,24 @@
 
         /** A server that sends nothing to anybody is left for any other one, a slow one only for a free slot. */
         private fun mayMove(server: BackendServer): Boolean {
-            if (possibleRuns + 1 >= route.maxAttempts) return false
+            if (possibleRuns + 1 >= route.maxAttempts || hasUnnumberedData) return false
             // The first event has arrived, so the latency target no longer counts.
             val request = placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE)
             return components.tracker.isStalled(server.id) || components.placement.hasFreeAlternative(request)
         }
 
-        /** Sends [event] to the caller unless it already has it; false if events are missing before it. */
-        private fun deliver(event: StreamEvent): Boolean {
+        /**
+         * Sends [event] to the caller unless it already has it; false if events are missing before it, or if the event
+         * shows that the stream [isContinuation] of a broken one only by name.
+         */
+        private fun deliver(event: StreamEvent, isContinuation: Boolean): Boolean {
             val last = lastEventId
+            if (event.id == null && event.hasData) {
+                if (isContinuation) return false
+                hasUnnumberedData = true
+            }
             if (event.id != null && last != null) {
-                if (event.id <= last) return true
+                if (event.id <= last) return !isContinuation
                 if (event.id != last + 1) return false
             }
             reply.bytes(event.bytes)
@@ -303,11 +320,11 @@
             return true
         }
 
-        private fun mayRetry(): Boolean = when {
-            route.kind == RouteKind.STREAMING && !route.isResumable -> false
-            route.isIdempotent || route.isResumable -> possibleRuns < route.maxAttempts
-            else -> false
-        }
+        private fun mayRetry(): Boolean = possibleRuns < route.maxAttempts &&
+            when {
+                reply.isStarted -> route.isResumable && !hasUnnumberedData
+                else -> route.isIdempotent || route.isResumable
+            }
 
         private fun fail(code: ResultCode, retryAfterMillis: Long?): ForwardResult {
             val hasRun = possibleRuns > 0 || code == ResultCode.BACKEND_TIMEOUT
