Complete a batch item by its whole output only

Cause: any stamped 2xx completed an item, whether it was a stream or not and whether it had events or not. What callers saw: a completed result with an empty text, or with the part that came before a break. Change: the answer has to be a stream of events. One without a new event does not complete the item: it starts over from its first event, since an item that broke off after its last event cannot be told from one that misses some.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
@@ -39,6 +39,12 @@
         return true
     }
 
+    /** Discards the output received so far; the next run begins at the first event. */
+    fun startOver() {
+        output.setLength(0)
+        lastEventId = null
+    }
+
     fun applyOutcome(outcome: RunOutcome) {
         when (outcome) {
             RunOutcome.Completed -> result = ItemResult(item.id, isCompleted = true, output = output.toString())
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -266,13 +266,16 @@
                     components.tracker.block(server.id, FULL_SERVER_PAUSE_MILLIS)
                     RunOutcome.Interrupted("server answered $status, not run")
                 }
-                status in 200..299 && response.head.hasServerStamp -> readStream(response, progress).also {
+                status in 200..299 && response.head.hasServerStamp && response.head.isEventStream -> readStream(
+                    response,
+                    progress,
+                ).also {
                     if (it == RunOutcome.Completed) components.tracker.recordSuccess(server.id)
                     if (it == RunOutcome.Completed && isFromStart) {
                         runTimes.recordRun(millisSince(startedNanos), progress.lastEventId ?: 0)
                     }
                 }
-                status in 200..299 -> throw HttpFailure.Broken("the answer bears no stamp")
+                status in 200..299 -> throw HttpFailure.Broken("the answer bears no stamp or is no stream of events")
                 else -> {
                     skipBody(response)
                     when (status) {
@@ -295,6 +298,7 @@
 
     private suspend fun readStream(response: StreamingResponse, progress: ItemProgress): RunOutcome {
         val splitter = EventSplitter()
+        val lastEventIdBefore = progress.lastEventId
         var lastEventNanos = timer.nanoTime()
         while (true) {
             // Measured from the last event: a server that is stuck may still send bytes.
@@ -309,6 +313,11 @@
             }
         }
         if (splitter.hasPartialEvent) throw HttpFailure.Broken("the stream ended within an event")
+        if (progress.lastEventId == lastEventIdBefore) {
+            // It does not show that the run before had sent its last event, and only a whole run will.
+            progress.startOver()
+            throw HttpFailure.Broken("the stream has no event")
+        }
         return RunOutcome.Completed
     }
 
