Give up an item that cannot be sent

Cause: a stored job may hold an item whose body cannot be decoded or whose headers are invalid: one of another writer, or accepted before items were checked. Building its request threw, and the item was put back and started again at once, without end. What callers saw: no result of the item, and a node that does little else. Change: such an item is impossible: it is listed as given up, with the line `item_invalid`. Evidence: OddStoredObjectTest, an item that cannot be sent is given up: failed before, passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -250,7 +250,12 @@
         val head = BackendRequestHead(server.id, remainingMillis.coerceAtLeast(1), job.customer, progress.lastEventId)
         val startedNanos = timer.nanoTime()
         val isFromStart = progress.lastEventId == null
-        val request = protocol.itemRequest(progress.item, job.host, head)
+        val request = try {
+            protocol.itemRequest(progress.item, job.host, head)
+        } catch (invalid: IllegalArgumentException) {
+            log.record("item_invalid", "job" to job.id, "item" to progress.item.id, "reason" to invalid.message)
+            return RunOutcome.Impossible
+        }
         return components.backendCalls.run(
             server,
             request,
