--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -23,7 +23,6 @@
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.traffic.CustomerAccount
 import ragwortbarrow.core.traffic.Route
-import ragwortbarrow.core.traffic.RouteKind
 import ragwortbarrow.http.HttpAnswer
 import ragwortbarrow.http.HttpFailure
 import ragwortbarrow.http.HttpReply
@@ -101,6 +100,9 @@
         private val service = route.service(Random.nextDouble())
         private val excluded = HashSet<BackendServerId>()
         private var lastEventId = request.head.lastEventId
+
+        /** Whether the caller has data whose place in the stream no id tells, so that nothing can follow a break. */
+        private var hasUnnumberedData = false
         private var sendCount = 0
 
         /** The response with which another server goes on with the stream, until it is read. */
@@ -293,16 +295,21 @@
                     possibleRuns + 1 < route.maxAttempts
             if (mayRepeat) return Attempt.Broken("server answered ${response.head.status}")
             if (reply.isStarted) return Attempt.Broken("server answered ${response.head.status} to a resumed stream")
+            // The head does not state that the request did not run, and callers would read that from the status alone.
+            if (response.head.status in NOT_RUN_STATUSES) {
+                return Attempt.Broken("server answered ${response.head.status} without stating that it did not run")
+            }
             reply.whole(response.head.status, protocol.endToEndHeaders(response.httpResponse), body)
             return Attempt.Answered(response.head.status)
         }
 
         private suspend fun forwardStream(response: StreamingResponse, server: BackendServer): Attempt =
             coroutineScope {
-                if (!reply.isStarted) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
+                val isContinuation = reply.isStarted
+                if (!isContinuation) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
                 val move = StreamMove(this, server)
                 try {
-                    forwardEvents(response, move)
+                    forwardEvents(response, move, isContinuation)
                 } catch (failure: HttpFailure.Broken) {
                     move.finish()?.let { Attempt.Moved(it, failure.message.orEmpty()) } ?: throw failure
                 } finally {
@@ -310,8 +317,13 @@
                 }
             }
 
-        private suspend fun forwardEvents(response: StreamingResponse, move: StreamMove): Attempt {
+        private suspend fun forwardEvents(
+            response: StreamingResponse,
+            move: StreamMove,
+            isContinuation: Boolean,
+        ): Attempt {
             val splitter = EventSplitter()
+            val lastEventIdBefore = lastEventId
             var waitingSinceNanos = timer.nanoTime()
             while (true) {
                 if (!move.awaitNext(response.body, waitingSinceNanos)) {
@@ -323,7 +335,9 @@
                 val bytes = response.body.next() ?: break
                 for (event in splitter.add(bytes)) {
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
-                    if (!deliver(event)) return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
+                    if (!deliver(event, isContinuation)) {
+                        return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
+                    }
                     if (event.id == null) continue
                     waitingSinceNanos = timer.nanoTime()
                     move.cancel()
@@ -333,6 +347,10 @@
                 waitingSinceNanos += timer.nanoTime() - beforeNanos
             }
             if (splitter.hasPartialEvent) throw HttpFailure.Broken("the stream ended within an event")
+            // Such a response does not show that the broken stream had sent its last event.
+            if (isContinuation && lastEventId == lastEventIdBefore) {
+                return Attempt.Broken("the resumed stream has no event")
+            }
             reply.end()
             return Attempt.Answered(response.head.status)
         }
@@ -419,17 +437,24 @@
 
         /** A server that sends nothing to anybody is left for any other one, a slow one only for a free slot. */
         private fun mayMove(server: BackendServer): Boolean {
-            if (possibleRuns + 1 >= route.maxAttempts || sendCount >= MAX_SENDS) return false
+            if (possibleRuns + 1 >= route.maxAttempts || sendCount >= MAX_SENDS || hasUnnumberedData) return false
             // The first event has arrived, so the latency target no longer counts.
             val request = placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE)
             return components.tracker.isStalled(server.id) || components.placement.hasFreeAlternative(request)
         }
 
-        /** Sends [event] to the caller unless it already has it; false if events are missing before it. */
-        private fun deliver(event: StreamEvent): Boolean {
+        /**
+         * Sends [event] to the caller unless it already has it; false if events are missing before it, or if the event
+         * shows that the stream [isContinuation] of a broken one only by name.
+         */
+        private fun deliver(event: StreamEvent, isContinuation: Boolean): Boolean {
             val last = lastEventId
+            if (event.id == null && event.hasData) {
+                if (isContinuation) return false
+                hasUnnumberedData = true
+            }
             if (event.id != null && last != null) {
-                if (event.id <= last) return true
+                if (event.id <= last) return !isContinuation
                 if (event.id != last + 1) return false
             }
             reply.bytes(event.bytes)
@@ -437,11 +462,11 @@
             return true
         }
 
-        private fun mayRetry(): Boolean = when {
-            route.kind == RouteKind.STREAMING && !route.isResumable -> false
-            route.isIdempotent || route.isResumable -> possibleRuns < route.maxAttempts
-            else -> false
-        }
+        private fun mayRetry(): Boolean = possibleRuns < route.maxAttempts &&
+            when {
+                reply.isStarted -> route.isResumable && !hasUnnumberedData
+                else -> route.isIdempotent || route.isResumable
+            }
 
         private fun fail(code: ResultCode, retryAfterMillis: Long?): ForwardResult {
             val hasRun = possibleRuns > 0 || code == ResultCode.BACKEND_TIMEOUT
@@ -487,6 +512,9 @@
 
         const val RETRY_AFTER_MILLIS = 1_000L
         const val SERVER_ERROR = 500
+
+        /** Statuses that callers take as a promise that the request has not run and never will. */
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
         const val SERVICE_UNAVAILABLE = 503
     }
 }
