Refuse a part of prompts on which backend servers crash

What callers saw: one part of a prompt ended each backend server that began to answer it, one after the other, and the requests in flight there ended with 502.

Cause: an entry node took a closed connection for a fault of the server alone. It marked the server, placed the next request with the same prompt on the next one, and told nobody. No node sees enough crashes to find the common part.

Change: PromptQuarantine records the requests that a server had not begun to answer when it closed their connections, unless that server goes on with others (HttpFailure.Disconnected tells this from timeouts and from answers). Nodes exchange these records, their answers to parts of them, and the parts they refuse, with the loads. The part with the most crashes since its last answer is blamed after three crashes over 400 ms, if other prompts are answered meanwhile. Requests with it get 503 (4008, not-run) before each send; batch items with it wait, and an item whose server closed the connection before an answer waits for a second. A quarantine ends 2 minutes after the last crash, and the next crash renews it for twice the time.

Evidence: PromptQuarantinePathTest (three nodes, eight servers) failed in all three tests with the code before: requests with the part went on to servers after five crashes. It passes now, as do PromptQuarantineTest (19 tests in virtual time) and the two new tests of FleetStateExchangeTest.

--- a/core/src/main/kotlin/ragwortbarrow/core/error/ResultCode.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/error/ResultCode.kt
@@ -31,6 +31,7 @@
     ANSWER_MISMATCH(4005, "backend", 502),
     STREAM_BROKEN(4006, "backend", 502),
     RETRY_BUDGET_SPENT(4007, "unavailable", 503),
+    PROMPT_QUARANTINED(4008, "unavailable", 503),
 
     ITEM_INVALID(5001, "invalid_request", 400),
     ITEM_FAILED(5002, "batch", 500),
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/ActivitySummary.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/ActivitySummary.kt
@@ -6,6 +6,7 @@
 import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.placement.Occupancy
 import ragwortbarrow.core.placement.ServerOutcomes
+import ragwortbarrow.core.quarantine.QuarantineEvidence
 
 /** The current activity of a node, or the sum over a relay and the nodes that it relays. */
 data class ActivitySummary(
@@ -18,6 +19,8 @@
     val takenOverJobs: List<String> = emptyList(),
     /** Batch jobs that were accepted in the last second, with the nodes that run them. */
     val acceptedJobs: Map<String, JobHolder> = emptyMap(),
+    /** Prompts on which backend servers crashed. */
+    val quarantineEvidence: QuarantineEvidence = QuarantineEvidence(),
 ) {
     operator fun plus(others: List<ActivitySummary>): ActivitySummary {
         if (others.isEmpty()) return this
@@ -28,6 +31,7 @@
             usage = sum(summaries, ActivitySummary::usage, CustomerUsage::plus),
             takenOverJobs = summaries.flatMap { it.takenOverJobs },
             acceptedJobs = sum(summaries, ActivitySummary::acceptedJobs) { first, _ -> first },
+            quarantineEvidence = quarantineEvidence + others.map { it.quarantineEvidence },
         )
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
@@ -16,10 +16,18 @@
 }
 
 /** A job item that this node runs: its failed attempts and the output received so far. */
-class ItemProgress(val item: BatchItem, private val maxAttempts: Int) {
+class ItemProgress(
+    val item: BatchItem,
+    private val maxAttempts: Int,
+    /** Ids of the parts that the item's prompt may share with others. */
+    val sharedPromptParts: List<String> = emptyList(),
+) {
     private val output = StringBuilder()
     private var failedAttempts = 0
 
+    /** Monotonic time before which the item is not started again. */
+    var startableAtMillis = Long.MIN_VALUE
+
     /** Id of the last event that was received completely, or null before the first one. */
     var lastEventId: Long? = null
         private set
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/CrashBlame.kt
@@ -0,0 +1,50 @@
+package ragwortbarrow.core.quarantine
+
+/** A part that explains [crashes], which no other part explains better. */
+internal class Suspect(val part: String, val crashes: List<ServerCrash>)
+
+/**
+ * Finds the parts of prompts on which servers crash. A part is suspected of the crashes since it was last answered.
+ * The part with the most crashes is blamed for them, of several the one that was answered least recently, and then the
+ * one later in the prompt. Its crashes no longer count for the parts beside it.
+ */
+internal class CrashBlame(
+    private val minCrashes: Int = 3,
+    /** Servers that all end within this time, for example with their rack, have another cause. */
+    private val minSpanMillis: Long = 400,
+) {
+    fun suspects(
+        crashes: List<ServerCrash>,
+        /** When a part was last answered; null if never. */
+        lastAnsweredMillis: (part: String) -> Long?,
+    ): List<Suspect> {
+        var open = crashes.sortedBy { it.atMillis }
+        val suspects = ArrayList<Suspect>()
+        while (open.size >= minCrashes) {
+            val suspect = worst(open, lastAnsweredMillis) ?: break
+            suspects += suspect
+            open = open - suspect.crashes.toSet()
+        }
+        return suspects
+    }
+
+    private fun worst(open: List<ServerCrash>, lastAnsweredMillis: (String) -> Long?): Suspect? {
+        val crashesByPart = HashMap<String, ArrayList<ServerCrash>>()
+        for (crash in open) {
+            for (part in crash.parts) {
+                if (crash.atMillis > (lastAnsweredMillis(part) ?: Long.MIN_VALUE)) {
+                    crashesByPart.getOrPut(part) { ArrayList() } += crash
+                }
+            }
+        }
+        return crashesByPart
+            .filterValues { it.size >= minCrashes && it.last().atMillis - it.first().atMillis >= minSpanMillis }
+            .map { (part, ofPart) -> Suspect(part, ofPart) }
+            .maxWithOrNull(
+                compareBy<Suspect> { it.crashes.size }
+                    .thenByDescending { lastAnsweredMillis(it.part) ?: Long.MIN_VALUE }
+                    .thenBy { suspect -> suspect.crashes.maxOf { it.position(suspect.part) } }
+                    .thenBy { it.part },
+            )
+    }
+}
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.entry
 
 import kotlinx.coroutines.Job
+import ragwortbarrow.core.jobs.BatchItem
 import ragwortbarrow.core.jobs.BatchJob
 import ragwortbarrow.core.jobs.ItemProgress
 import ragwortbarrow.core.jobs.ItemResult
@@ -15,9 +16,13 @@
     maxAttempts: Int,
     /** Whether the job was taken over from a node that may still be alive and store results. */
     val isTakenOver: Boolean,
+    sharedPromptParts: (BatchItem) -> List<String> = { emptyList() },
 ) {
     val waiting = ArrayDeque<ItemProgress>()
     val running = HashMap<ItemProgress, RunningItem>()
+
+    /** Waiting items that are not started, because servers crash on a part of their prompt. */
+    val withheld = HashSet<ItemProgress>()
     val unstoredResults = ArrayList<ItemResult>()
     var isStopped = false
     var isStoring = false
@@ -26,7 +31,9 @@
     private val change = ChangeSignal()
 
     init {
-        job.items.filterNot { log.contains(it.id) }.mapTo(waiting) { ItemProgress(it, maxAttempts) }
+        job.items.filterNot {
+            log.contains(it.id)
+        }.mapTo(waiting) { ItemProgress(it, maxAttempts, sharedPromptParts(it)) }
     }
 
     /** Suspends until results are stored or the job stops. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCall.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCall.kt
@@ -33,6 +33,7 @@
             return block(response).also { close(mayReuse = !isBatch || response.head.status in 200..299) }
         } catch (failure: HttpFailure) {
             abandon()
+            response.recordFailure(failure)
             throw failure
         } finally {
             close()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.ServerTracker
+import ragwortbarrow.core.quarantine.PromptQuarantine
+import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.http.HttpAnswer
 import ragwortbarrow.http.HttpClientConnection
 import ragwortbarrow.http.HttpClientPool
@@ -11,13 +13,25 @@
 import ragwortbarrow.http.HttpRequestMessage
 
 /** A backend server's response: the decoded [head] and the [body] as it arrives. */
-class StreamingResponse(val head: BackendResponseHead, val httpResponse: HttpResponse, val body: HttpAnswer)
+class StreamingResponse(
+    val head: BackendResponseHead,
+    val httpResponse: HttpResponse,
+    val body: HttpAnswer,
+    private val prompt: PromptAttempt,
+) {
+    /** Records that the first event, or the whole body, has arrived. */
+    fun recordAnswer() = prompt.recordAnswer(head.status)
+
+    internal fun recordFailure(failure: HttpFailure) = prompt.recordFailure(failure)
+}
 
 /** Sends requests to backend servers. A request counts as in flight until its [BackendCall] is closed. */
 class BackendCalls(
     private val pool: HttpClientPool,
     private val tracker: ServerTracker,
+    private val quarantine: PromptQuarantine,
     private val protocol: EntryProtocol,
+    private val timer: TimerService,
 ) {
     /**
      * Sends [request] to [server] and passes the response to [read]. Throws [HttpFailure] or [LeftQueue]. With
@@ -32,8 +46,18 @@
         requiresFreshConnection: Boolean,
         waitMillis: Double = 0.0,
         timeouts: ResponseHeadTimeouts = ResponseHeadTimeouts(),
+        sharedPromptParts: List<String> = emptyList(),
         read: suspend (StreamingResponse) -> T,
-    ): T = open(server, request, requestId, isBatch, requiresFreshConnection, waitMillis, timeouts).read(read)
+    ): T = open(
+        server,
+        request,
+        requestId,
+        isBatch,
+        requiresFreshConnection,
+        waitMillis,
+        timeouts,
+        sharedPromptParts,
+    ).read(read)
 
     /** Like [run], but returns when the response begins. The caller reads or closes the result. */
     suspend fun open(
@@ -44,18 +68,22 @@
         requiresFreshConnection: Boolean,
         waitMillis: Double = 0.0,
         timeouts: ResponseHeadTimeouts = ResponseHeadTimeouts(),
+        sharedPromptParts: List<String> = emptyList(),
     ): BackendCall {
         val startMillis = tracker.recordStart(server.id, isBatch, waitMillis)
+        val prompt = PromptAttempt(quarantine, server.id, requestId, sharedPromptParts, timer)
         var connection: HttpClientConnection? = null
         var call: BackendCall? = null
         try {
             connection =
                 pool.acquire(server.address, if (requiresFreshConnection) FRESH_SHARE else HttpClientPool.KEPT_SHARE)
-            val answer = connection.send(request, { tracker.recordActivity(server.id) }) {
-                protocol.isResponseTo(it, requestId)
+            val onProgress = {
+                tracker.recordActivity(server.id)
+                prompt.recordActivity()
             }
+            val answer = connection.send(request, onProgress) { protocol.isResponseTo(it, requestId) }
             val httpResponse = awaitHead(answer, timeouts)
-            val response = StreamingResponse(protocol.parseResponseHead(httpResponse), httpResponse, answer)
+            val response = StreamingResponse(protocol.parseResponseHead(httpResponse), httpResponse, answer, prompt)
             call = BackendCall(server, response, isBatch, startMillis, connection, pool, tracker)
             return call
         } catch (abandoned: LeftQueue) {
@@ -64,6 +92,7 @@
         } catch (failure: HttpFailure) {
             tracker.recordFailure(server.id)
             pool.drop(server.address)
+            prompt.recordFailure(failure)
             throw failure
         } finally {
             if (call == null) {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -40,6 +40,7 @@
 import ragwortbarrow.core.placement.OnlinePlacement
 import ragwortbarrow.core.placement.PreferredSlots
 import ragwortbarrow.core.placement.ServerTracker
+import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.store.IdempotentWriter
 import ragwortbarrow.core.store.KindWatcher
 import ragwortbarrow.core.store.ObjectKind
@@ -90,11 +91,12 @@
     private val configuration = ConfigurationHolder(this.platform::parseConfiguration, log)
     private val servers = ServerDirectory(this.platform::parseBackendServer, tracker, timer, log)
     private val cancelledJobs = CancelledJobs(timer)
+    private val quarantine = PromptQuarantine(timer, log)
     private val members = FleetMembers(self, timer)
     private val channels = GrpcChannels(group = group, keepAliveSeconds = PEER_KEEPALIVE_SECONDS)
     private val connector = GrpcFleetConnector(channels)
     private val sharedState =
-        FleetStateExchange.SharedState(tracker, rateLimiter, configuration, servers, cancelledJobs)
+        FleetStateExchange.SharedState(tracker, rateLimiter, configuration, servers, cancelledJobs, quarantine)
     private val plan = RelayPlan(members, timer)
     private val stateExchange = FleetStateExchange(members, plan, connector, sharedState, timer, scope, log)
 
@@ -103,7 +105,7 @@
     private val jobStore = JobStore(store, writer)
     private val protocol = this.platform.protocol
     private val pool = HttpClientPool(loop) { metrics.increment("connections_opened") }
-    private val backendCalls = BackendCalls(pool, tracker, protocol)
+    private val backendCalls = BackendCalls(pool, tracker, quarantine, protocol, timer)
     private val runner = JobRunner(
         JobRunner.Components(
             configuration,
@@ -112,6 +114,7 @@
             BatchPlacement(tracker, settings.failureDomain),
             backendCalls,
             jobStore,
+            quarantine,
         ),
         protocol,
         timer,
@@ -124,7 +127,7 @@
         BatchJobHandler(runner, jobStore, members, connector, cancelledJobs, protocol, timer, scope, log)
     private val placement = OnlinePlacement(tracker, latencies, settings.failureDomain)
     private val forwarder = Forwarder(
-        Forwarder.Components(tracker, placement, latencies, backendCalls),
+        Forwarder.Components(tracker, placement, latencies, backendCalls, quarantine),
         protocol,
         timer,
         metrics,
@@ -161,7 +164,11 @@
             assignPreferredSlots()
             failover.onMembershipChange()
         }
-        stateExchange.onPeriodEnd = runner::rebalance
+        stateExchange.onPeriodEnd = {
+            quarantine.update()
+            runner.rebalance()
+        }
+        quarantine.onCrashRecorded = { metrics.increment("requests_at_crashes") }
         stateExchange.onSlotsNeeded = runner::freeSlotsForPeers
         stateExchange.takenOverJobs = runner::takenOverJobs
         stateExchange.onJobsTakenOver = runner::verifyHolders
@@ -359,6 +366,9 @@
         metrics.registerGauge("members.silent", "Entry nodes that have not been heard of lately") {
             members.unreachableCount
         }
+        metrics.registerGauge("quarantined.parts", "Prompt parts that are refused because servers crashed on them") {
+            quarantine.size
+        }
         metrics.registerGauge("configuration.version", "Version in force, 0 if none") { configuration.version }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
@@ -18,6 +18,8 @@
     val deadlineMillis: Long?,
     /** Event after which a stream is to be resumed; null for a stream from its start. */
     val lastEventId: Long?,
+    /** Ids of the parts that the prompt may share with others, in order: all but the last one. */
+    val sharedPromptParts: List<String> = emptyList(),
 )
 
 /** Operation that a caller requests. */
@@ -64,6 +66,9 @@
     /** Items of a batch job, or null if [body] is malformed. */
     fun parseBatchItems(body: ByteArray): List<BatchItem>?
 
+    /** The shared prompt parts of a batch item, as in [CallerRequestHead.sharedPromptParts]. */
+    fun sharedPromptParts(item: BatchItem): List<String>
+
     fun encodeResultsPage(total: Int, after: Int, results: List<ItemResult>): ByteArray
 
     /** The caller's [request] as it is sent to a backend server. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -21,6 +21,7 @@
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.peer.PeerError
 import ragwortbarrow.core.placement.ServerTracker
+import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.time.monotonicMillis
 
@@ -46,11 +47,19 @@
         val configuration: ConfigurationHolder,
         val servers: ServerDirectory,
         val cancelledJobs: CancelledJobs,
+        val quarantine: PromptQuarantine,
     )
 
     /** The last state received from a node with which this one exchanges states. */
     private class PeerState(val state: NodeState, val atMillis: Long, val exchanges: Int)
 
+    /** The activity of a peer, with the ages of its evidence as of now. */
+    private fun PeerState.currentActivity(): ActivitySummary {
+        val activity = state.activity
+        val heldMillis = timer.monotonicMillis() - atMillis
+        return activity.copy(quarantineEvidence = activity.quarantineEvidence.aged(heldMillis))
+    }
+
     private val peerStates = HashMap<VmId, PeerState>()
     private val exchangesInFlight = HashSet<VmId>()
     private val slotRequestsAfterExchange = HashSet<VmId>()
@@ -230,6 +239,7 @@
         val activity = state.activity
         shared.tracker.updatePeer(vm, activity.loads, activity.outcomes)
         shared.rateLimiter.updatePeer(vm, activity.usage)
+        shared.quarantine.merge(activity.quarantineEvidence)
         if (state.needsBatchSlot) {
             onSlotsNeeded()
             forwardSlotRequest(state)
@@ -290,6 +300,7 @@
             usage = shared.rateLimiter.usage(),
             takenOverJobs = takenOverJobs(),
             acceptedJobs = recentlyAcceptedJobs(),
+            quarantineEvidence = shared.quarantine.evidence(),
         )
         // A relay sends all activity to its own nodes, and only the activity of its nodes to others.
         val relayedStates = peerStates.filter { (vm, last) -> vm != to && (isRelayed || last.state.isRelayed) }
@@ -298,7 +309,7 @@
             isLeaving = isLeaving,
             configurationVersion = shared.configuration.version,
             serversRevision = shared.servers.revision,
-            activity = own + relayedStates.values.map { it.state.activity },
+            activity = own + relayedStates.values.map { it.currentActivity() },
             members = if (shouldIncludeMembers(to)) memberReports(to, isRelayed) else emptyList(),
             cancelledJobs = shared.cancelledJobs.recent(),
             isRelayed = to != null && plan.ownRelay()?.vm == to,
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -17,6 +17,7 @@
 import ragwortbarrow.core.placement.Placement
 import ragwortbarrow.core.placement.PlacementRequest
 import ragwortbarrow.core.placement.ServerTracker
+import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.traffic.CustomerAccount
@@ -62,6 +63,7 @@
         val placement: OnlinePlacement,
         val latencies: LatencyEstimates,
         val backendCalls: BackendCalls,
+        val quarantine: PromptQuarantine,
     )
 
     /** Called when an online request would have to wait for a slot on a server. */
@@ -103,6 +105,7 @@
 
         suspend fun run(): ForwardResult {
             while (true) {
+                quarantinedPart()?.let { return failQuarantined(it) }
                 val server = when (val placed = place()) {
                     is Placement.Send -> placed.server.also { if (placed.waitMillis > 0) onSlotNeeded(it) }
                     is Placement.Full -> return fail(ResultCode.QUEUE_FULL, placed.retryAfterMillis)
@@ -135,6 +138,19 @@
             return fail(ResultCode.BACKEND_TIMEOUT, null)
         }
 
+        private fun quarantinedPart(): String? = components.quarantine.quarantinedPart(request.head.sharedPromptParts)
+
+        private fun failQuarantined(part: String): ForwardResult {
+            log.record(
+                "prompt_refused",
+                "request_id" to request.head.requestId,
+                "part" to part,
+                "sends" to sendCount,
+            )
+            lastReason = "backend servers crashed on part $part of the prompt"
+            return fail(ResultCode.PROMPT_QUARANTINED, null)
+        }
+
         private fun placementRequest(): PlacementRequest {
             val elapsedMillis = elapsedMillis(request)
             return PlacementRequest(
@@ -212,6 +228,7 @@
                 requiresFreshConnection = !route.isIdempotent && !route.isResumable,
                 waitMillis = waitMillis,
                 timeouts = timeouts,
+                sharedPromptParts = request.head.sharedPromptParts,
             )
             if (waitMillis <= 0) components.latencies.recordFirstByte(service, millisSince(sentNanos))
             sentNanosByServer[server.id] = sentNanos
@@ -273,6 +290,7 @@
 
         private suspend fun forwardWhole(response: StreamingResponse): Attempt {
             val body = response.body.rest(MAX_BUFFERED_BODY_BYTES)
+            response.recordAnswer()
             val mayRepeat =
                 response.head.status >= SERVER_ERROR &&
                     route.isIdempotent &&
@@ -291,6 +309,7 @@
                 awaitBytesOrMove(response, server, waitingSinceNanos)?.let { return it }
                 val bytes = response.body.next() ?: break
                 for (event in splitter.add(bytes)) {
+                    response.recordAnswer()
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
                     if (!deliver(event)) return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
                     if (event.id != null) waitingSinceNanos = timer.nanoTime()
@@ -374,6 +393,7 @@
         /** A server that sends nothing to anybody is left for any other one, a slow one only for a free slot. */
         private fun mayMove(server: BackendServer): Boolean {
             if (possibleRuns + 1 >= route.maxAttempts || sendCount >= MAX_SENDS) return false
+            if (quarantinedPart() != null) return false
             // The first event has arrived, so the latency target no longer counts.
             val request = placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE)
             return components.tracker.isStalled(server.id) || components.placement.hasFreeAlternative(request)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -22,9 +22,11 @@
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.placement.Slack
 import ragwortbarrow.core.placement.Urgency
+import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.monotonicMillis
 import ragwortbarrow.core.time.pause
 import ragwortbarrow.core.traffic.Route
 import ragwortbarrow.http.HttpFailure
@@ -49,6 +51,7 @@
         val placement: BatchPlacement,
         val backendCalls: BackendCalls,
         val jobStore: JobStore,
+        val quarantine: PromptQuarantine,
     )
 
     private val activeJobs = LinkedHashMap<String, ActiveJob>()
@@ -69,7 +72,7 @@
     fun startJob(job: BatchJob, results: ResultLog, isTakenOver: Boolean = false) {
         if (job.id in activeJobs || isStopping) return
         val route = route(job)
-        activeJobs[job.id] = ActiveJob(job, results, route?.maxAttempts ?: 1, isTakenOver)
+        activeJobs[job.id] = ActiveJob(job, results, route?.maxAttempts ?: 1, isTakenOver, protocol::sharedPromptParts)
         log.record("job_held", "job" to job.id, "items" to job.items.size, "stored" to results.size)
         startWaitingItems()
     }
@@ -198,7 +201,25 @@
     private fun candidates(job: ActiveJob): List<Candidate> {
         val route = route(job.job)
         if (route == null) failItems(job, "the job's route is not in the configuration")
-        return if (route == null) emptyList() else job.waiting.map { Candidate(job, it, route, urgency(job, it)) }
+        return if (route == null) {
+            emptyList()
+        } else {
+            job.waiting.filter { isStartable(job, it) }.map {
+                Candidate(job, it, route, urgency(job, it))
+            }
+        }
+    }
+
+    /** Whether an item need not wait because servers crash on a part of its prompt, or may do so. */
+    private fun isStartable(job: ActiveJob, progress: ItemProgress): Boolean {
+        if (timer.monotonicMillis() < progress.startableAtMillis) return false
+        val part = components.quarantine.quarantinedPart(progress.sharedPromptParts)
+        if (part == null) {
+            job.withheld -= progress
+        } else if (job.withheld.add(progress)) {
+            log.record("item_withheld", "job" to job.job.id, "item" to progress.item.id, "part" to part)
+        }
+        return part == null
     }
 
     private fun urgency(job: ActiveJob, item: ItemProgress): Urgency {
@@ -228,11 +249,15 @@
         // the same turn still reaches `finally`.
         running.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
             var outcome: RunOutcome = RunOutcome.Interrupted("stopped")
+            val eventIdBefore = progress.lastEventId
             try {
                 outcome = runItem(job.job, progress, route, server)
             } catch (cancelled: CancellationException) {
                 throw cancelled
             } catch (failure: HttpFailure) {
+                if (failure is HttpFailure.Disconnected && progress.lastEventId == eventIdBefore) {
+                    progress.startableAtMillis = timer.monotonicMillis() + DISCONNECT_PAUSE_MILLIS
+                }
                 outcome = RunOutcome.Interrupted(failure.message.orEmpty())
             } finally {
                 finishItem(job, progress, outcome)
@@ -258,6 +283,7 @@
             isBatch = true,
             requiresFreshConnection = false,
             timeouts = ResponseHeadTimeouts(timeoutMillis = RESPONSE_HEAD_TIMEOUT_MILLIS),
+            sharedPromptParts = progress.sharedPromptParts,
         ) { response ->
             val status = response.head.status
             when {
@@ -304,6 +330,7 @@
             val bytes = response.body.next() ?: break
             for (event in splitter.add(bytes)) {
                 val id = event.id ?: continue
+                response.recordAnswer()
                 if (!progress.appendEvent(id, event.data)) throw HttpFailure.Broken("events before $id are missing")
                 lastEventNanos = timer.nanoTime()
             }
@@ -434,6 +461,9 @@
 
         const val RETRY_MILLIS = 300L
 
+        /** Pause of an item whose server closed the connection, so that one item does not crash many servers at once. */
+        const val DISCONNECT_PAUSE_MILLIS = 1_000L
+
         /** Below one second: a result that a caller has read from one node must be on all nodes a second later. */
         const val REREAD_INTERVAL_NANOS = 400_000_000L
 
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
@@ -19,6 +19,7 @@
 import ragwortbarrow.core.peer.PeerError
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.ServerTracker
+import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.time.ManualTimerService
 import strikt.api.expectThat
 import strikt.assertions.containsExactlyInAnyOrder
@@ -55,11 +56,12 @@
         val takenOver = ArrayList<String>()
         val accepted = HashMap<String, JobHolder>()
         var slotRequests = 0
+        val quarantine = PromptQuarantine(timer, DecisionLog.NONE)
         val stateExchange = FleetStateExchange(
             members,
             plan,
             FleetConnector { address -> Peer(nodes.getValue(address), this) },
-            sharedStateOf(tracker, timer),
+            sharedStateOf(tracker, timer, quarantine),
             timer,
             CoroutineScope(Dispatchers.Unconfined),
             DecisionLog.NONE,
@@ -69,6 +71,7 @@
             stateExchange.onJobsTakenOver = { takenOver += it }
             stateExchange.onJobsAccepted = { accepted += it }
             stateExchange.onSlotsNeeded = { slotRequests++ }
+            stateExchange.onPeriodEnd = quarantine::update
         }
     }
 
@@ -103,6 +106,41 @@
         for (node in nodes.values) expectThat(node.tracker.occupancy(server.id).total).isEqualTo(total)
     }
 
+    /** Sound requests are answered at every node meanwhile. */
+    private fun crashServer(node: Node, server: String) {
+        val parts = listOf("common", "harmful")
+        node.quarantine.recordDisconnect(BackendServerId(server), "request at $server", parts)
+        repeat(6) {
+            timer.advance(100)
+            nodes.values.forEach { it.quarantine.recordAnswer(listOf("common", "sound")) }
+        }
+    }
+
+    @Test
+    fun `a part on which servers crashed at different nodes is refused by all nodes within 3 s`() {
+        fleet(domains = 3, size = 20)
+        val places = listOf(7, 28, 59, 35, 12)
+        places.forEachIndexed { index, place -> crashServer(nodes.values.elementAt(place), "server-$index") }
+        timer.advance(3_000 - 600)
+        for (node in nodes.values) {
+            expectThat(node.quarantine.quarantinedPart(listOf("common", "harmful"))).isEqualTo("harmful")
+            expectThat(node.quarantine.size).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `nodes that were cut off refuse a quarantined part soon after they are back`() {
+        fleet(domains = 2, size = 8)
+        val cutOff = nodes.values.take(8)
+        cutOff.forEach { it.partition = 1 }
+        timer.advance(3_000)
+        repeat(5) { crashServer(nodes.values.last(), "server-$it") }
+        timer.advance(8_000)
+        cutOff.forEach { it.partition = 0 }
+        timer.advance(3_000)
+        for (node in cutOff) expectThat(node.quarantine.size).isEqualTo(1)
+    }
+
     @Test
     fun `every node reaches all others`() {
         fleet(domains = 3, size = 20)
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
@@ -22,6 +22,7 @@
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.BatchPlacement
 import ragwortbarrow.core.placement.ServerTracker
+import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.store.IdempotentWriter
 import ragwortbarrow.core.store.InMemoryObjectStore
 import ragwortbarrow.core.time.ManualTimerService
@@ -64,6 +65,8 @@
 
         override fun parseBatchItems(body: ByteArray): List<BatchItem> = unused()
 
+        override fun sharedPromptParts(item: BatchItem): List<String> = item.headers["parts"]?.split(',').orEmpty()
+
         override fun encodeResultsPage(total: Int, after: Int, results: List<ItemResult>): ByteArray = unused()
 
         override fun backendRequest(request: HttpRequestMessage, head: BackendRequestHead): HttpRequestMessage =
@@ -85,6 +88,7 @@
     val timer = ManualTimerService()
     val dispatcher = QueueDispatcher()
     val tracker = ServerTracker(timer).apply { replace(servers) }
+    val quarantine = PromptQuarantine(timer, DecisionLog.NONE)
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     val self = FleetNode(VmId("vm-1"), "127.0.0.1:1", incarnation = 1, FailureDomainId("dalton"))
     val route = Route(
@@ -113,8 +117,9 @@
                 members,
                 tracker,
                 BatchPlacement(tracker, self.failureDomain),
-                BackendCalls(HttpClientPool(group.next()), tracker, protocol),
+                BackendCalls(HttpClientPool(group.next()), tracker, quarantine, protocol, timer),
                 jobStore,
+                quarantine,
             ),
             protocol,
             timer,
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 
 /**
  * A client connection that carries one request at a time. Data that arrives while no request is pending closes the
@@ -72,11 +73,13 @@
     internal val isReusable: Boolean
         get() = isOpen && answer == null && !closeAfterResponse && isRequestWritten
 
-    private fun fail(reason: String) {
+    private fun fail(reason: String) = fail(HttpFailure.Broken(reason))
+
+    private fun fail(failure: HttpFailure.Broken) {
         val current = answer
         answer = null
         channel.close()
-        current?.onBroken(HttpFailure.Broken(reason))
+        current?.onBroken(failure)
     }
 
     /** Closes the connection if a server sends bytes without end before the head of the expected response. */
@@ -129,11 +132,18 @@
             }
         }
 
-        override fun channelInactive(context: ChannelHandlerContext) = fail("the connection was closed")
+        override fun channelInactive(context: ChannelHandlerContext) =
+            fail(HttpFailure.Disconnected("the connection was closed"))
 
         @Deprecated("deprecated in ChannelHandler, but not in ChannelInboundHandler")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
-            fail("the connection failed: ${cause.message}")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = fail(connectionFailure(cause))
+
+        private fun connectionFailure(cause: Throwable): HttpFailure.Broken {
+            val message = "the connection failed: ${cause.message}"
+            // Keep-alive probes without an answer time out, which does not show that the server closed the connection.
+            val isClosed = cause is IOException && "timed out" !in cause.message.orEmpty()
+            return if (isClosed) HttpFailure.Disconnected(message) else HttpFailure.Broken(message)
+        }
     }
 
     private companion object {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpFailure.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpFailure.kt
@@ -7,5 +7,8 @@
 sealed class HttpFailure(message: String) : Exception(message, null, false, false) {
     class ConnectFailed(message: String) : HttpFailure(message)
 
-    class Broken(message: String) : HttpFailure(message)
+    open class Broken(message: String) : HttpFailure(message)
+
+    /** The server closed or reset the connection. */
+    class Disconnected(message: String) : Broken(message)
 }
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -16,8 +16,14 @@
 import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.placement.Occupancy
 import ragwortbarrow.core.placement.ServerOutcomes
+import ragwortbarrow.core.quarantine.CrashReport
+import ragwortbarrow.core.quarantine.QuarantineEvidence
+import ragwortbarrow.core.quarantine.QuarantineReport
 import ragwortbarrow.fleet.v1.AcceptedJob
+import ragwortbarrow.fleet.v1.AnsweredPart
 import ragwortbarrow.fleet.v1.Member
+import ragwortbarrow.fleet.v1.PromptCrash
+import ragwortbarrow.fleet.v1.QuarantinedPart
 import ragwortbarrow.fleet.v1.ResultsReply
 import ragwortbarrow.fleet.v1.ServerLoad
 import ragwortbarrow.fleet.v1.CustomerUse as WireCustomerUse
@@ -57,6 +63,18 @@
             AcceptedJob.newBuilder().setJob(job).setVm(holder.vm).setIncarnation(holder.incarnation).build()
         },
     )
+    .addAllPromptCrashes(activity.quarantineEvidence.crashes.map { it.toWire() })
+    .addAllAnsweredParts(
+        activity.quarantineEvidence.answerAgesMillis.map { (part, age) ->
+            AnsweredPart.newBuilder().setPart(part).setAgeMillis(age).build()
+        },
+    )
+    .addAllQuarantinedParts(
+        activity.quarantineEvidence.quarantines.map { (part, report) ->
+            QuarantinedPart.newBuilder().setPart(part).setCrashes(report.crashes).setRenewals(report.renewals)
+                .setLastCrashAgeMillis(report.lastCrashAgeMillis).build()
+        },
+    )
     .setRelayed(isRelayed)
     .setUrgent(needsBatchSlot)
     .setPlatformAnswers(isStoreReachable)
@@ -81,6 +99,7 @@
         usage = usesList.associate { CustomerId(it.customer) to CustomerUsage(it.admitted, it.offered) },
         takenOverJobs = takenJobsList.toList(),
         acceptedJobs = acceptedJobsList.associate { it.job to JobHolder(it.vm, it.incarnation) },
+        quarantineEvidence = quarantineEvidence(),
     ),
     members = membersList.map { it.toCore() },
     cancelledJobs = endedJobsList.toList(),
@@ -89,6 +108,23 @@
     isStoreReachable = platformAnswers,
 )
 
+private fun CrashReport.toWire(): PromptCrash = PromptCrash.newBuilder()
+    .setServer(server.value)
+    .setRequest(requestId)
+    .addAllParts(sharedParts)
+    .setAgeMillis(ageMillis)
+    .build()
+
+private fun WireNodeState.quarantineEvidence() = QuarantineEvidence(
+    crashes = promptCrashesList.map {
+        CrashReport(BackendServerId(it.server), it.request, it.partsList.toList(), it.ageMillis)
+    },
+    answerAgesMillis = answeredPartsList.associate { it.part to it.ageMillis },
+    quarantines = quarantinedPartsList.associate {
+        it.part to QuarantineReport(it.crashes, it.renewals, it.lastCrashAgeMillis)
+    },
+)
+
 internal fun Snapshot.toWire(): WireSnapshot =
     WireSnapshot.newBuilder().setRevision(revision).setDocument(ByteString.copyFromUtf8(document)).build()
 
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -5,10 +5,13 @@
 import java.io.InputStream
 import java.io.OutputStream
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.locks.LockSupport
 
 /** A request that a runner received. */
@@ -70,11 +73,18 @@
 
     /** A response that is cut off within its body. */
     data class Truncated(val body: String) : RunnerBehaviour
+
+    /** Closes all connections and refuses new ones for [outageMillis], as a process that ends and starts again. */
+    data class Crash(val outageMillis: Long) : RunnerBehaviour
 }
 
 /** Simulates a runner of the operators' platform on loopback. Behaviours apply in order, and the last one repeats. */
 class OperatorRunnerStandIn(val id: String, vararg behaviours: RunnerBehaviour) : AutoCloseable {
-    private val socket = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    @Volatile private var socket = ServerSocket(0, BACKLOG, LOOPBACK)
+    private val port = socket.localPort
+    private val connections: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
+
+    @Volatile private var isClosed = false
     private val executor = Executors.newCachedThreadPool()
     private val upcoming = ConcurrentLinkedQueue(behaviours.toList())
 
@@ -84,17 +94,35 @@
     /** Error messages of connections that the client closed before the response was complete. */
     val abandoned = ConcurrentLinkedQueue<String>()
 
-    val address: String get() = "127.0.0.1:${socket.localPort}"
+    /** Number of [RunnerBehaviour.Crash]es. */
+    val crashes = AtomicInteger()
+
+    val address: String get() = "127.0.0.1:$port"
 
     init {
-        executor.execute {
-            while (!socket.isClosed) {
-                val connection = runCatching { socket.accept() }.getOrNull() ?: break
-                executor.execute { serve(connection) }
-            }
+        accept(socket)
+    }
+
+    private fun accept(listening: ServerSocket) = executor.execute {
+        while (!listening.isClosed) {
+            val connection = runCatching { listening.accept() }.getOrNull() ?: break
+            executor.execute { serve(connection) }
         }
     }
 
+    private fun crash(outageMillis: Long) {
+        crashes.incrementAndGet()
+        socket.close()
+        connections.forEach { it.close() }
+        LockSupport.parkNanos(outageMillis * 1_000_000)
+        if (isClosed) return
+        socket = ServerSocket().apply {
+            reuseAddress = true
+            bind(InetSocketAddress(LOOPBACK, port), BACKLOG)
+        }
+        accept(socket)
+    }
+
     /** Replaces the remaining behaviours. */
     fun behave(vararg behaviours: RunnerBehaviour) {
         upcoming.clear()
@@ -102,16 +130,20 @@
     }
 
     override fun close() {
+        isClosed = true
         socket.close()
         executor.shutdownNow()
     }
 
     private fun serve(connection: Socket) = connection.use {
-        connection.tcpNoDelay = true
+        connections += connection
         try {
+            connection.tcpNoDelay = true
             serveRequests(BufferedInputStream(connection.getInputStream()), connection.getOutputStream())
         } catch (failure: IOException) {
             abandoned += failure.message.orEmpty()
+        } finally {
+            connections -= connection
         }
     }
 
@@ -181,6 +213,10 @@
                 output.send(completeResponse(request, 200, behaviour.body).dropLast(1))
                 return false
             }
+            is RunnerBehaviour.Crash -> {
+                crash(behaviour.outageMillis)
+                return false
+            }
             RunnerBehaviour.NoResponse, is RunnerBehaviour.Chosen -> return false
         }
         return true
@@ -234,6 +270,7 @@
 
     private companion object {
         const val BACKLOG = 256
+        val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
         const val HEX = 16
         const val PARTIAL_EVENT_BYTES = 8
     }
