--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -214,14 +214,19 @@
     private fun isStartable(job: ActiveJob, progress: ItemProgress): Boolean {
         if (timer.monotonicMillis() < progress.startableAtMillis) return false
         val part = components.quarantine.quarantinedPart(progress.sharedPromptParts)
-        if (part == null) {
+        if (part == null || components.quarantine.tryProbe(part, rank())) {
             job.withheld -= progress
-        } else if (job.withheld.add(progress)) {
+            return true
+        }
+        if (job.withheld.add(progress)) {
             log.record("item_withheld", "job" to job.job.id, "item" to progress.item.id, "part" to part)
         }
-        return part == null
+        return false
     }
 
+    /** The position of this node among those that are alive. */
+    private fun rank(): Int = components.members.reachable().count { it.vm.value < components.members.self.vm.value }
+
     private fun urgency(job: ActiveJob, item: ItemProgress): Urgency {
         val route = route(job.job)
         val targetMillis = route?.completionTargetMillis?.takeIf { it > 0 } ?: route?.maxWaitMillis ?: 0
