--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -19,6 +19,7 @@
 import ragwortbarrow.core.placement.Placement
 import ragwortbarrow.core.placement.PlacementRequest
 import ragwortbarrow.core.placement.ServerTracker
+import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.traffic.CustomerAccount
@@ -63,6 +64,7 @@
         val placement: OnlinePlacement,
         val latencies: LatencyEstimates,
         val backendCalls: BackendCalls,
+        val quarantine: PromptQuarantine,
     )
 
     /** Called when an online request would have to wait for a slot on a server. */
@@ -114,6 +116,7 @@
 
         suspend fun run(): ForwardResult {
             while (true) {
+                quarantinedPart()?.let { return failQuarantined(it) }
                 val server = when (val placed = place()) {
                     is Placement.Send -> placed.server.also { if (placed.waitMillis > 0) onSlotNeeded(it) }
                     is Placement.Full -> return fail(ResultCode.QUEUE_FULL, placed.retryAfterMillis)
@@ -151,6 +154,19 @@
             return fail(ResultCode.BACKEND_TIMEOUT, null)
         }
 
+        private fun quarantinedPart(): String? = components.quarantine.quarantinedPart(request.head.sharedPromptParts)
+
+        private fun failQuarantined(part: String): ForwardResult {
+            log.record(
+                "prompt_refused",
+                "request_id" to request.head.requestId,
+                "part" to part,
+                "sends" to sendCount,
+            )
+            lastReason = "backend servers crashed on part $part of the prompt"
+            return fail(ResultCode.PROMPT_QUARANTINED, null)
+        }
+
         private fun placementRequest(): PlacementRequest {
             val elapsedMillis = elapsedMillis(request)
             return PlacementRequest(
@@ -228,6 +244,7 @@
                 requiresFreshConnection = !route.isIdempotent && !route.isResumable,
                 waitMillis = waitMillis,
                 timeouts = timeouts,
+                sharedPromptParts = request.head.sharedPromptParts,
             )
             if (waitMillis <= 0) components.latencies.recordFirstByte(service, millisSince(sentNanos))
             sentNanosByServer[server.id] = sentNanos
@@ -289,6 +306,7 @@
 
         private suspend fun forwardWhole(response: StreamingResponse): Attempt {
             val body = response.body.rest(MAX_BUFFERED_BODY_BYTES)
+            response.recordAnswer()
             val mayRepeat =
                 response.head.status >= SERVER_ERROR &&
                     route.isIdempotent &&
@@ -334,6 +352,7 @@
                 }
                 val bytes = response.body.next() ?: break
                 for (event in splitter.add(bytes)) {
+                    response.recordAnswer()
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
                     if (!deliver(event, isContinuation)) {
                         return Attempt.Broken("event ${event.id} does not follow event $lastEventId")
@@ -438,6 +457,7 @@
         /** A server that sends nothing to anybody is left for any other one, a slow one only for a free slot. */
         private fun mayMove(server: BackendServer): Boolean {
             if (possibleRuns + 1 >= route.maxAttempts || sendCount >= MAX_SENDS || hasUnnumberedData) return false
+            if (quarantinedPart() != null) return false
             // The first event has arrived, so the latency target no longer counts.
             val request = placementRequest().copy(remainingTargetMillis = Double.MAX_VALUE)
             return components.tracker.isStalled(server.id) || components.placement.hasFreeAlternative(request)
