Refuse a prompt part that ends many servers within a moment

Cause: crashes within 400 ms counted as one event, as if a rack had failed.

Change: five crashes over 100 ms are enough if nine of ten servers that ended meanwhile had the part, still only if other prompts are answered after the first of them.

The new test in PromptQuarantineTest passes; it was not run on the code before.

--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/CrashBlame.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/CrashBlame.kt
@@ -10,8 +10,12 @@
  */
 internal class CrashBlame(
     private val minCrashes: Int = 3,
-    /** Servers that all end within this time, for example with their rack, have another cause. */
+    /** Servers that all end within this time, for example with their rack, may have another cause. */
     private val minSpanMillis: Long = 400,
+    /** In less time, more crashes are needed, and nearly all that happened meanwhile. */
+    private val minBurstCrashes: Int = 5,
+    private val minBurstSpanMillis: Long = 100,
+    private val minBurstShare: Double = 0.9,
 ) {
     fun suspects(
         crashes: List<ServerCrash>,
@@ -38,7 +42,7 @@
             }
         }
         return crashesByPart
-            .filterValues { it.size >= minCrashes && it.last().atMillis - it.first().atMillis >= minSpanMillis }
+            .filterValues { isConclusive(it, open) }
             .map { (part, ofPart) -> Suspect(part, ofPart) }
             .maxWithOrNull(
                 compareBy<Suspect> { it.crashes.size }
@@ -47,4 +51,12 @@
                     .thenBy { it.part },
             )
     }
+
+    private fun isConclusive(ofPart: List<ServerCrash>, open: List<ServerCrash>): Boolean {
+        val span = ofPart.first().atMillis..ofPart.last().atMillis
+        val spanMillis = span.last - span.first
+        if (ofPart.size < minCrashes || spanMillis < minBurstSpanMillis) return false
+        if (spanMillis >= minSpanMillis) return true
+        return ofPart.size >= minBurstCrashes && ofPart.size >= minBurstShare * open.count { it.atMillis in span }
+    }
 }
--- a/core/src/test/kotlin/ragwortbarrow/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/quarantine/PromptQuarantineTest.kt
@@ -103,6 +103,24 @@
         expectThat(quarantine.size).isEqualTo(0)
     }
 
+    /** All servers ended within 400 ms, and again as soon as they were back. */
+    @Test
+    fun `a part on which servers crash one after the other in a moment is refused before they are back`() {
+        repeat(8) {
+            val server = BackendServerId("server-$it")
+            quarantine.recordDisconnect(server, newRequestId(), listOf("common", "harmful"))
+            quarantine.recordDisconnect(server, newRequestId(), listOf("common", "beside-$it"))
+            timer.advance(40)
+            quarantine.recordAnswer(listOf("common", "sound"))
+        }
+        repeat(20) {
+            timer.advance(100)
+            quarantine.update()
+        }
+        expectThat(isRefused("harmful")).isEqualTo(true)
+        expectThat(quarantine.size).isEqualTo(1)
+    }
+
     @Test
     fun `servers that all end one after the other quarantine nothing while no request is answered`() {
         repeat(6) {
