--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -254,11 +254,13 @@
                 outcome = runItem(job.job, progress, route, server)
             } catch (cancelled: CancellationException) {
                 throw cancelled
-            } catch (failure: HttpFailure) {
-                if (failure is HttpFailure.Disconnected && progress.lastEventId == eventIdBefore) {
+            } catch (failure: HttpFailure.Disconnected) {
+                if (progress.lastEventId == eventIdBefore) {
                     progress.startableAtMillis = timer.monotonicMillis() + DISCONNECT_PAUSE_MILLIS
                 }
                 outcome = RunOutcome.Interrupted(failure.message.orEmpty())
+            } catch (failure: HttpFailure) {
+                outcome = RunOutcome.Interrupted(failure.message.orEmpty())
             } finally {
                 finishItem(job, progress, outcome)
             }
@@ -461,7 +463,7 @@
 
         const val RETRY_MILLIS = 300L
 
-        /** Pause of an item whose server closed the connection, so that one item does not crash many servers at once. */
+        /** Pause of an item whose server closed the connection, so that it does not crash many servers at once. */
         const val DISCONNECT_PAUSE_MILLIS = 1_000L
 
         /** Below one second: a result that a caller has read from one node must be on all nodes a second later. */
