--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
@@ -25,9 +25,7 @@
         var lastCrashMillis: Long,
         val renewals: Int,
         var isReleased: Boolean = false,
-    ) {
-        var lastProbeMillis: Long? = null
-    }
+    )
 
     private val unconfirmed = ArrayList<Disconnect>()
     private val ownCrashes = ArrayDeque<Disconnect>()
@@ -55,22 +53,6 @@
     fun quarantinedPart(parts: List<String>): String? =
         if (quarantines.isEmpty()) null else parts.firstOrNull { quarantines[it]?.isReleased == false }
 
-    /**
-     * Whether one request with the quarantined [part] may be sent, to find out whether it is still harmful. The turn of
-     * the node with the next [rank] comes when the others would know of a crash.
-     */
-    fun tryProbe(part: String, rank: Int): Boolean {
-        val quarantine = quarantines[part]?.takeIf { !it.isReleased } ?: return false
-        val nowMillis = timer.monotonicMillis()
-        val intervalMillis = PROBE_MILLIS shl (quarantine.crashes - PROBE_MIN_CRASHES).coerceIn(0, MAX_DOUBLINGS)
-        val isDue = nowMillis - quarantine.lastCrashMillis >= intervalMillis + rank * PROBE_STAGGER_MILLIS
-        val isRepeated = quarantine.lastProbeMillis?.let { nowMillis - it < PROBE_REPEAT_MILLIS } ?: false
-        if (!isDue || isRepeated) return false
-        quarantine.lastProbeMillis = nowMillis
-        log.record("part_probed", "part" to part, "rank" to rank, "crashes" to quarantine.crashes)
-        return true
-    }
-
     /** Records that a server began to answer a request with [sharedParts]. */
     fun recordAnswer(sharedParts: List<String>) {
         if (sharedParts.isEmpty()) return
@@ -291,12 +273,6 @@
         const val MAX_QUARANTINE_MILLIS = 3_600_000L
         const val MAX_DOUBLINGS = 5
 
-        /** Time after the last crash until a probe is sent; it doubles with each crash beyond the fifth. */
-        const val PROBE_MILLIS = 20_000L
-        const val PROBE_MIN_CRASHES = 5
-        const val PROBE_STAGGER_MILLIS = 2_000L
-        const val PROBE_REPEAT_MILLIS = 6_000L
-
         const val MAX_UNCONFIRMED = 256
         const val MAX_OWN_CRASHES = 64
         const val MAX_ANSWERED_PARTS = 4_096
--- a/core/src/test/kotlin/ragwortbarrow/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/quarantine/PromptQuarantineTest.kt
@@ -179,20 +179,6 @@
         expectThat(isRefused("harmful")).isEqualTo(false)
     }
 
-    @Test
-    fun `after a time without crashes, one node after the other may send one request as a probe`() {
-        repeat(3) { crash(listOf("common", "harmful")) }
-        pass(15_000)
-        expectThat(quarantine.tryProbe("harmful", rank = 0)).isEqualTo(false)
-        pass(6_000)
-        expectThat(quarantine.tryProbe("harmful", rank = 3)).isEqualTo(false)
-        expectThat(List(10) { quarantine.tryProbe("harmful", rank = 0) }.count { it }).isEqualTo(1)
-        crash(listOf("common", "harmful"))
-        pass(15_000)
-        expectThat(quarantine.tryProbe("harmful", rank = 0)).isEqualTo(false)
-        expectThat(quarantine.tryProbe("sound", rank = 0)).isEqualTo(false)
-    }
-
     @Test
     fun `a quarantined part that a server answers after all is served again`() {
         repeat(3) { crash(listOf("common", "harmful")) }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -218,19 +218,14 @@
     private fun isStartable(job: ActiveJob, progress: ItemProgress): Boolean {
         if (timer.monotonicMillis() < progress.startableAtMillis) return false
         val part = components.quarantine.quarantinedPart(progress.sharedPromptParts)
-        if (part == null || components.quarantine.tryProbe(part, rank())) {
+        if (part == null) {
             job.withheld -= progress
-            return true
-        }
-        if (job.withheld.add(progress)) {
+        } else if (job.withheld.add(progress)) {
             log.record("item_withheld", "job" to job.job.id, "item" to progress.item.id, "part" to part)
         }
-        return false
+        return part == null
     }
 
-    /** The position of this node among those that are alive. */
-    private fun rank(): Int = components.members.reachable().count { it.vm.value < components.members.self.vm.value }
-
     private fun urgency(job: ActiveJob, item: ItemProgress): Urgency {
         val route = route(job.job)
         val targetMillis = route?.completionTargetMillis?.takeIf { it > 0 } ?: route?.maxWaitMillis ?: 0
@@ -489,7 +484,7 @@
 
         const val RETRY_MILLIS = 300L
 
-        /** Pause of an item whose server closed the connection, so that one item does not crash many servers. */
+        /** Pause of an item whose server closed the connection, so that it does not crash many servers at once. */
         const val DISCONNECT_PAUSE_MILLIS = 1_000L
 
         /** Below one second: a result that a caller has read from one node must be on all nodes a second later. */
