Read the changes once more

Cause: lines that the formatter split badly, and a condition that BackendResponseHead.isStream already names. Change: the shape of four places; what the code does is as before.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
@@ -44,12 +44,8 @@
     /** The states of all jobs that have one, by job id. */
     suspend fun states(): Result<Map<String, JobState>, StoreError> =
         store.listAll(ObjectKind.ENTRY_JOB_STATES).map { (objects, _) ->
-            objects.mapNotNull { stored ->
-                stored.decodeOrReport<JobState>()?.let {
-                    stored.name to
-                        it
-                }
-            }.toMap()
+            val states = objects.associate { it.name to it.decodeOrReport<JobState>() }
+            buildMap { states.forEach { (name, state) -> if (state != null) put(name, state) } }
         }
 
     /** The state of a job; the default state if it was never taken over, cancelled or finished. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -204,14 +204,11 @@
 
     private fun candidates(job: ActiveJob): List<Candidate> {
         val route = route(job.job)
-        if (route == null) failItems(job, "the job's route is not in the configuration")
-        return if (route == null) {
-            emptyList()
-        } else {
-            job.waiting.filter { isStartable(job, it) }.map {
-                Candidate(job, it, route, urgency(job, it))
-            }
+        if (route == null) {
+            failItems(job, "the job's route is not in the configuration")
+            return emptyList()
         }
+        return job.waiting.filter { isStartable(job, it) }.map { Candidate(job, it, route, urgency(job, it)) }
     }
 
     /** Whether an item need not wait because servers crash on a part of its prompt, or may do so. */
@@ -303,10 +300,7 @@
                     components.tracker.block(server.id, FULL_SERVER_PAUSE_MILLIS)
                     RunOutcome.Interrupted("server answered $status, not run")
                 }
-                status in 200..299 && response.head.hasServerStamp && response.head.isEventStream -> readStream(
-                    response,
-                    progress,
-                ).also {
+                response.head.isStream -> readStream(response, progress).also {
                     if (it == RunOutcome.Completed) components.tracker.recordSuccess(server.id)
                     if (it == RunOutcome.Completed && isFromStart) {
                         runTimes.recordRun(millisSince(startedNanos), progress.lastEventId ?: 0)
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -90,9 +90,10 @@
 
     /** Reports the requests that were read whole and whose response is not complete when the connection ends. */
     private fun reportUnanswered(reason: ConnectionCloseReason) {
-        currentReply?.takeIf {
-            !it.isComplete
-        }?.let { onUnanswered(UnansweredRequest(it.request, reason, it.isStarted)) }
+        val reply = currentReply
+        if (reply != null && !reply.isComplete) {
+            onUnanswered(UnansweredRequest(reply.request, reason, reply.isStarted))
+        }
         queuedRequests.forEach { onUnanswered(UnansweredRequest(it.message, reason, isStarted = false)) }
     }
 
