Keep the response of a stream that moved apart from the next search

Cause: found when reading the change once more. After a move, openedCall still held the response that was now being read. A second search, possible on routes with three attempts or more, that ended because the server went on closed that response. What callers would have seen: a stream that had moved once was broken off when its new server paused and went on. Change: the response belongs to its reader as soon as it is read. Evidence: OnlinePathTest, a stream that moved stays where it is when its new server goes on after a pause, passes with the other stream tests (11 of 11). Whether it fails without the change was not run before this commit.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -128,6 +128,7 @@
                     possibleRuns++
                     lastReason = attempt.reason
                     lastServer = attempt.call.server.id
+                    openedCall = null
                     attempt = read(attempt.call)
                 }
                 when (attempt) {
