Let batch items open their calls as requests do, and share the bound of logged names

Cause: BackendCalls.run passed its eight parameters on to open and had one caller left; ServerDirectory and EntryNode each had the bound of the names that they log. Change: JobRunner uses open and BackendCall.read; loggedName stands once. What the code does is as before.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -34,32 +34,11 @@
     private val timer: TimerService,
 ) {
     /**
-     * Sends [request] to [server] and passes the response to [read]. Throws [HttpFailure] or [LeftQueue]. With
-     * [requiresFreshConnection] a pooled connection is reused only shortly after its last response: the server may have
-     * closed an older one, and a request that is not repeatable cannot be retried.
+     * Sends [request] to [server] and returns when the response begins; the result is read or closed by the caller.
+     * Throws [HttpFailure] or [LeftQueue]. With [requiresFreshConnection] a pooled connection is reused only shortly
+     * after its last response: the server may have closed an older one, and a request that is not repeatable cannot be
+     * retried.
      */
-    suspend fun <T> run(
-        server: BackendServer,
-        request: HttpRequestMessage,
-        requestId: String,
-        isBatch: Boolean,
-        requiresFreshConnection: Boolean,
-        waitMillis: Double = 0.0,
-        timeouts: ResponseHeadTimeouts = ResponseHeadTimeouts(),
-        sharedPromptParts: List<String> = emptyList(),
-        read: suspend (StreamingResponse) -> T,
-    ): T = open(
-        server,
-        request,
-        requestId,
-        isBatch,
-        requiresFreshConnection,
-        waitMillis,
-        timeouts,
-        sharedPromptParts,
-    ).read(read)
-
-    /** Like [run], but returns when the response begins. The caller reads or closes the result. */
     suspend fun open(
         server: BackendServer,
         request: HttpRequestMessage,
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -344,7 +344,7 @@
     private fun logUnreadable(stored: StoredObject, reason: String?) = log.record(
         "stored_object_unreadable",
         "kind" to stored.kind.path,
-        "name" to stored.name.take(MAX_LOGGED_NAME_LENGTH),
+        "name" to loggedName(stored.name),
         "reason" to reason,
     )
 
@@ -397,9 +397,6 @@
 
         const val REGISTER_RETRY_MILLIS = 1_000L
 
-        /** Names of objects that other writers leave may have any length. */
-        const val MAX_LOGGED_NAME_LENGTH = 64
-
         /** Interval of the `summary` log line. */
         const val SUMMARY_MILLIS = 10_000L
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -284,7 +284,7 @@
             log.record("item_invalid", "job" to job.id, "item" to progress.item.id, "reason" to invalid.message)
             return RunOutcome.Impossible
         }
-        return components.backendCalls.run(
+        val call = components.backendCalls.open(
             server,
             request,
             progress.item.id,
@@ -292,7 +292,8 @@
             requiresFreshConnection = false,
             timeouts = ResponseHeadTimeouts(timeoutMillis = RESPONSE_HEAD_TIMEOUT_MILLIS),
             sharedPromptParts = progress.sharedPromptParts,
-        ) { response ->
+        )
+        return call.read { response ->
             val status = response.head.status
             when {
                 response.head.isNotRun -> {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -109,9 +109,6 @@
         }
     }
 
-    /** Names of entries that other writers leave may have any length. */
-    private fun loggedName(name: String) = name.take(MAX_LOGGED_NAME_LENGTH)
-
     private fun publish(reason: String) {
         val servers = entries.values.mapNotNull(decode)
         tracker.replace(servers)
@@ -124,8 +121,4 @@
             "usable" to servers.count { !it.isDraining },
         )
     }
-
-    private companion object {
-        const val MAX_LOGGED_NAME_LENGTH = 64
-    }
 }
