--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -26,7 +26,10 @@
     val unstoredResults = ArrayList<ItemResult>()
     var isStopped = false
     var isStoring = false
-    var isVerifyingHolder = false
+
+    /** Whether the stored state of the job has to be read, because messages about its changes may have been missed. */
+    var needsReconciliation = false
+    var isReconciling = false
     var rereadAtNanos = 0L
     private val change = ChangeSignal()
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -165,7 +165,7 @@
         quarantine.onCrashRecorded = { metrics.increment("requests_at_crashes") }
         stateExchange.onSlotsNeeded = runner::freeSlotsForPeers
         stateExchange.takenOverJobs = runner::takenOverJobs
-        stateExchange.onJobsTakenOver = runner::verifyHolders
+        stateExchange.onJobsTakenOver = runner::reconcileJobs
         stateExchange.recentlyAcceptedJobs = jobHandler::recentlyAcceptedJobs
         stateExchange.onJobsAccepted = jobHandler::addRemoteJobs
         jobHandler.onJobWithoutHolder = { failover.ensureRunning(listOf(it)) }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
@@ -49,7 +49,7 @@
     fun start(initialDelayMillis: Long = INITIAL_DELAY_MILLIS) {
         schedule(initialDelayMillis)
         timer.every(periodMillis) { schedule(0) }
-        val contact = LostContact(members, timer, onRegained = runner::verifyAllHolders)
+        val contact = LostContact(members, timer, onRegained = runner::reconcileAllJobs)
         timer.every(CONTACT_CHECK_MILLIS) { contact.check() }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -83,20 +83,28 @@
         activeJobs.values.filter { it.isTakenOver && !it.log.isComplete }.map { it.job.id }
 
     /** Handles another node's report that it took over [jobs]: the store decides who runs those that this node runs. */
-    fun verifyHolders(jobs: List<String>) {
+    fun reconcileJobs(jobs: List<String>) {
         for (id in jobs) {
             val job = activeJobs[id] ?: continue
-            if (job.isVerifyingHolder) continue
-            job.isVerifyingHolder = true
+            job.needsReconciliation = true
+            if (job.isReconciling) continue
+            job.isReconciling = true
             scope.launch {
-                while (activeJobs[id] === job && !verifyHolder(job)) timer.pause(RETRY_MILLIS)
-                job.isVerifyingHolder = false
+                while (job.needsReconciliation && activeJobs[id] === job) {
+                    // A request that comes during the read below may follow a change that the read does not see.
+                    job.needsReconciliation = false
+                    if (!reconcile(job)) {
+                        job.needsReconciliation = true
+                        timer.pause(RETRY_MILLIS)
+                    }
+                }
+                job.isReconciling = false
             }
         }
     }
 
-    /** Asks the store who holds each unfinished job, since other nodes may have taken it over. */
-    fun verifyAllHolders() = verifyHolders(activeJobs.values.filter { !it.log.isComplete }.map { it.job.id })
+    /** Reads the state of each unfinished job, which other nodes may have taken over or cancelled. */
+    fun reconcileAllJobs() = reconcileJobs(activeJobs.values.filter { !it.log.isComplete }.map { it.job.id })
 
     /**
      * Reads results that the previous holder of [job] may have stored after the takeover. A caller that has read a
@@ -438,7 +446,7 @@
     /** Handles a number that is in use: another node took the job over, or an earlier try of this write took effect. */
     private suspend fun resolveConflict(job: ActiveJob) {
         if (!reloadResults(job)) timer.pause(RETRY_MILLIS)
-        verifyHolder(job)
+        reconcile(job)
     }
 
     private suspend fun reloadResults(job: ActiveJob): Boolean {
@@ -449,12 +457,17 @@
         return isRead
     }
 
-    /** Releases [job] if another node holds it; false if the store can't be read. */
-    private suspend fun verifyHolder(job: ActiveJob): Boolean {
-        val state = components.jobStore.state(job.job.id).getOrElse { return false }
-        val holder = state.holder ?: return true
+    /** Stops [job] if its stored state says that it was cancelled or is held by another node; false if unreadable. */
+    private suspend fun reconcile(job: ActiveJob): Boolean {
+        val id = job.job.id
+        val state = components.jobStore.state(id).getOrElse { return false }
+        val holder = state.holder ?: job.job.holder
         val self = JobHolder(components.members.self.vm.value, components.members.self.incarnation)
-        if (holder != self && activeJobs[job.job.id] === job) release(job.job.id, holder)
+        when {
+            activeJobs[id] !== job -> Unit
+            holder != self -> release(id, holder)
+            state.isCancelled -> cancelJob(id)
+        }
         return true
     }
 
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobFailoverTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobFailoverTest.kt
@@ -14,6 +14,7 @@
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.peer.PeerError
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
@@ -105,6 +106,34 @@
         expectThat(fixture.runner.activeJob("job")).isNull()
     }
 
+    /** Advances time while this node hears no other one. */
+    private fun cutOff(millis: Int) = repeat(millis / STEP_MILLIS) {
+        timer.advance(STEP_MILLIS.toLong())
+        fixture.members.removeExpired()
+        fixture.dispatcher.runQueued()
+    }
+
+    private fun startJobAndFailover() {
+        fixture.runner.startJob(fixture.job(items = 4), ResultLog(4))
+        failover.start()
+        advance(millis = 2_000, isHolderHeard = true)
+    }
+
+    private fun endJobElsewhere() {
+        fixture.scope.launch { fixture.jobStore.updateState("job") { it.copy(isCancelled = true) } }
+        fixture.dispatcher.runQueued()
+    }
+
+    /** Guards against items that run long after the end of their job, which other nodes announce for a limited time. */
+    @Test
+    fun `a node that was cut off stops a job that was ended meanwhile`() {
+        startJobAndFailover()
+        cutOff(millis = 10_000)
+        endJobElsewhere()
+        advance(millis = 1_000, isHolderHeard = true)
+        expectThat(fixture.runner.activeJob("job")?.isStopped).isEqualTo(true)
+    }
+
     private companion object {
         const val STEP_MILLIS = 100
     }
