Notice the end of cuts of over 30 s, and of cuts with restarts

Cause: LostContact looked for lost nodes among the members, which are forgotten after 30 s, and waited for the same process to be back. After a longer cut, or if all others had restarted meanwhile, a node did not read the state of its jobs again, so it kept jobs that were ended or taken over.

Evidence: the two new tests of JobFailoverTest (a cut of 40 s, a cut during which the others restarted) failed before this change and pass now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/LostContact.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/LostContact.kt
@@ -7,22 +7,29 @@
 
 /**
  * Detects that this node may have counted as failed: another node was out of contact for as long as a failed one and is
- * back with the same process, or this process was paused. Calls [onRegained] then.
+ * back with the same process, all others were and one is back, or this process was paused. Calls [onRegained] then.
  */
 internal class LostContact(
     private val members: FleetMembers,
     private val timer: TimerService,
     private val onRegained: () -> Unit,
 ) {
-    private var lost = emptyList<FleetNode>()
+    /** Nodes out of contact, also those that are no longer members because the loss has lasted for so long. */
+    private val lost = HashSet<FleetNode>()
+    private var isIsolated = false
     private var checkedMonotonicMillis = timer.monotonicMillis()
     private var checkedWallMillis = timer.wallMillis()
 
     /** To be called several times a second. */
     fun check() {
+        val wasIsolated = isIsolated
         val isBack = lost.any { members.mayRun(it.vm, it.incarnation) }
-        lost = members.others().filter { members.hasFailed(it.vm, it.incarnation) && !members.isReachable(it.vm) }
-        if (wasPaused() || isBack) onRegained()
+        lost.removeAll { members.isReachable(it.vm) }
+        lost += members.others().filter { members.hasFailed(it.vm, it.incarnation) && !members.isReachable(it.vm) }
+        isIsolated = lost.isNotEmpty() && members.reachable().isEmpty()
+        // Read in each call, since the pause is measured from the previous one.
+        val wasPaused = wasPaused()
+        if (wasPaused || isBack || (wasIsolated && !isIsolated)) onRegained()
     }
 
     /** The monotonic clock stands still while a VM is suspended, the wall clock does not. */
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobFailoverTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobFailoverTest.kt
@@ -134,6 +134,27 @@
         expectThat(fixture.runner.activeJob("job")?.isStopped).isEqualTo(true)
     }
 
+    /** Guards against a cut that is so long that the other nodes are no longer listed as members when it ends. */
+    @Test
+    fun `a node that was cut off for longer than members are kept stops a job that was ended meanwhile`() {
+        startJobAndFailover()
+        cutOff(millis = 40_000)
+        endJobElsewhere()
+        advance(millis = 1_000, isHolderHeard = true)
+        expectThat(fixture.runner.activeJob("job")?.isStopped).isEqualTo(true)
+    }
+
+    /** Guards against a cut during which all other nodes restart, as in a rolling restart. */
+    @Test
+    fun `a node that was cut off while all others restarted stops a job that was ended meanwhile`() {
+        startJobAndFailover()
+        cutOff(millis = 10_000)
+        endJobElsewhere()
+        fixture.members.recordContact(other.copy(incarnation = 6), isLeaving = false)
+        advance(millis = 1_000, isHolderHeard = false)
+        expectThat(fixture.runner.activeJob("job")?.isStopped).isEqualTo(true)
+    }
+
     private companion object {
         const val STEP_MILLIS = 100
     }
