Return the state that replaced an update whose reply was lost

Cause: when the writer finds that its write took effect, although the reply was lost, JobStore.updateState returned the state that it had wanted to write. The end of the job may have replaced that state since; the node that took the job over started it, and had acted on the announcement of the end before, when it did not run the job yet.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
@@ -52,8 +52,8 @@
     suspend fun state(id: String): Result<JobState, StoreError> = storedState(id).andThen { it.decodeState() }
 
     /**
-     * Atomically updates the state of a job with [change], retrying after conflicts. Returns the resulting state, which
-     * is the current one if [change] returns null.
+     * Atomically updates the state of a job with [change], retrying after conflicts. Returns the current state, which
+     * may already be a later one than [change] returned if the reply to the write was lost.
      */
     suspend fun updateState(id: String, change: (JobState) -> JobState?): Result<JobState, StoreError> {
         var failure: StoreError = StoreError.Conflict("concurrent updates of the state of job $id")
@@ -68,7 +68,7 @@
             } else {
                 writer.update(current, spec)
             }
-            written.fold({ return Ok(after) }, { failure = it })
+            written.fold({ return it.decodeState() }, { failure = it })
             if (failure !is StoreError.Conflict && failure !is StoreError.AlreadyExists) return Err(failure)
         }
         return Err(failure)
