Do not start a job whose end was announced before

Cause: an announced end stops a job that runs on this node, once. If it comes while this node still waits for the reply to its write of the job, or of its takeover, the node runs nothing yet, and started the job afterwards.

Evidence: JobRunnerTest "a job whose end was announced before its start does not run" failed before this change (3 items in flight) and passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/CancelledJobs.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/CancelledJobs.kt
@@ -12,6 +12,8 @@
 
     fun add(job: String) = addAll(listOf(job))
 
+    operator fun contains(job: String): Boolean = job in cancelledAtMillis
+
     fun addAll(jobs: List<String>) {
         val nowMillis = timer.monotonicMillis()
         for (job in jobs) if (cancelledAtMillis.putIfAbsent(job, nowMillis) == null) onCancelled(job)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -109,6 +109,7 @@
             backendCalls,
             jobStore,
             quarantine,
+            cancelledJobs,
         ),
         protocol,
         timer,
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -53,6 +53,7 @@
         val backendCalls: BackendCalls,
         val jobStore: JobStore,
         val quarantine: PromptQuarantine,
+        val cancelledJobs: CancelledJobs,
     )
 
     private val activeJobs = LinkedHashMap<String, ActiveJob>()
@@ -69,9 +70,9 @@
     val runningItems: Int get() = activeJobs.values.sumOf { it.running.size }
     val waitingItems: Int get() = activeJobs.values.sumOf { it.waiting.size }
 
-    /** Starts or continues [job]; [results] are those already stored. */
+    /** Starts or continues [job], unless it was cancelled meanwhile; [results] are those already stored. */
     fun startJob(job: BatchJob, results: ResultLog, isTakenOver: Boolean = false) {
-        if (job.id in activeJobs || isStopping) return
+        if (job.id in activeJobs || isStopping || job.id in components.cancelledJobs) return
         val route = route(job)
         activeJobs[job.id] = ActiveJob(job, results, route?.maxAttempts ?: 1, isTakenOver, protocol::sharedPromptParts)
         log.record("job_held", "job" to job.id, "items" to job.items.size, "stored" to results.size)
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
@@ -105,6 +105,7 @@
     val members = FleetMembers(self, timer)
     val jobStore = InMemoryObjectStore().let { JobStore(it, IdempotentWriter(it, timer, "vm-1/1")) }
     val scope = CoroutineScope(dispatcher)
+    val cancelledJobs = CancelledJobs(timer)
     val runner = createRunner()
 
     private fun createRunner(): JobRunner {
@@ -120,6 +121,7 @@
                 BackendCalls(HttpClientPool(group.next()), tracker, quarantine, protocol, timer),
                 jobStore,
                 quarantine,
+                cancelledJobs,
             ),
             protocol,
             timer,
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -73,4 +73,18 @@
         reportOnline(7, 7, 7, 7, 7)
         expectThat(itemsInFlight()).isLessThanOrEqualTo(1)
     }
+
+    /**
+     * Guards against items that run after the end of their job, if it is announced before the reply to the write of the
+     * job, or of its takeover, arrives.
+     */
+    @Test
+    fun `a job whose end was announced before its start does not run`() {
+        fixture.cancelledJobs.add("job")
+        startJob(items = 3)
+        runner.rebalance()
+        fixture.dispatcher.runQueued()
+        expectThat(itemsInFlight()).isEqualTo(0)
+        expectThat(runner.waitingItems).isEqualTo(0)
+    }
 }
