--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
@@ -20,16 +20,20 @@
 import ragwortbarrow.core.store.storeJson
 
 /**
- * Stores batch jobs, their states and their results in the platform's store. Lists leave out objects of other writers
- * that cannot be read; [onUnreadable] is called with each of them, once.
+ * Stores batch jobs, their states and their results in the platform's store, whose objects have up to [maxObjectBytes].
+ * Lists leave out objects of other writers that cannot be read; [onUnreadable] is called with each of them, once.
  */
 class JobStore(
     private val store: ObjectStore,
     private val writer: IdempotentWriter,
+    maxObjectBytes: Int = DEFAULT_MAX_OBJECT_BYTES,
     private val onUnreadable: (StoredObject, reason: String?) -> Unit = { _, _ -> },
 ) {
     private val unreadable = HashSet<Pair<ObjectKind, String>>()
 
+    /** Size of the results in one chunk, in bytes; the rest of an object holds its metadata and its writers. */
+    val maxChunkBytes: Int = maxOf(maxObjectBytes - OBJECT_OVERHEAD_BYTES, maxObjectBytes / 2)
+
     /** Stores [job]; fails with [StoreError.AlreadyExists] if a job with this id already exists. */
     suspend fun create(job: BatchJob): Result<Unit, StoreError> =
         writer.create(ObjectKind.ENTRY_JOBS, job.id, storeJson.encodeToJsonElement(job) as JsonObject).map { }
@@ -115,11 +119,16 @@
 
     private fun chunkName(id: String, number: Int) = "$id.$number"
 
-    private companion object {
+    companion object {
+        /** Objects of a platform that names no limit have up to 1 MiB. */
+        const val DEFAULT_MAX_OBJECT_BYTES = 1024 * 1024
+
+        private const val OBJECT_OVERHEAD_BYTES = 16 * 1024
+
         /** Up to three nodes update a state concurrently: the holder, one that cancels and one that takes over. */
-        const val MAX_ATTEMPTS = 6
+        private const val MAX_ATTEMPTS = 6
 
         /** Messages of the decoder quote the object. */
-        const val MAX_REASON_LENGTH = 100
+        private const val MAX_REASON_LENGTH = 100
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ResultLog.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ResultLog.kt
@@ -23,9 +23,12 @@
     fun resultsFrom(position: Int): List<ItemResult> =
         if (position >= results.size) emptyList() else results.subList(position.coerceAtLeast(0), results.size).toList()
 
-    /** The next chunk to store, with those of [newResults] that have no position yet. */
-    fun nextChunk(newResults: List<ItemResult>): ResultChunk =
-        ResultChunk(first = results.size, results = newResults.filter { it.id !in itemIds })
+    /**
+     * The next chunk to store: those of [newResults] that have no position yet, as many as fit into [maxBytes], but at
+     * least one if there is any.
+     */
+    fun nextChunk(newResults: List<ItemResult>, maxBytes: Int = Int.MAX_VALUE): ResultChunk =
+        ResultChunk(first = results.size, results = newResults.filter { it.id !in itemIds }.takeEncoded(maxBytes))
 
     /**
      * Adds the stored [chunk] with this [number], unless another reader has already added it. A result that already has
--- a/core/src/test/kotlin/ragwortbarrow/core/jobs/ResultLogTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/jobs/ResultLogTest.kt
@@ -13,12 +13,15 @@
 import ragwortbarrow.core.store.ObjectStore
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.store.StoredObject
+import ragwortbarrow.core.store.storeJson
 import ragwortbarrow.core.time.ManualTimerService
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
@@ -61,6 +64,24 @@
         expectThat(log.isComplete).isTrue()
     }
 
+    /** Guards against chunks that the store rejects as too large, whose results would never be listed. */
+    @Test
+    fun `a chunk has as many results as fit, and at least one`() {
+        val log = ResultLog(3)
+        val results = listOf("a", "b", "c").map { ItemResult(it, isCompleted = true, output = "x".repeat(1_000)) }
+        expectThat(log.nextChunk(results, maxBytes = 2_500).results.map { it.id }).containsExactly("a", "b")
+        expectThat(log.nextChunk(results, maxBytes = 10).results.map { it.id }).containsExactly("a")
+    }
+
+    @Test
+    fun `the size of a result is that of its JSON text`() {
+        val results = listOf("plain", "\"quoted\"\\", "line\nline", "\u0001\u00e9\u4e2d").map { result(it) }
+        val chunk = ResultChunk(0, results)
+        val encoded = storeJson.encodeToString(chunk).encodeToByteArray().size
+        expectThat(chunk.encodedBytes).isGreaterThan(encoded)
+        expectThat(chunk.encodedBytes).isLessThan(encoded + 150 * results.size)
+    }
+
     @Test
     fun `concurrent readers leave no gap between chunks`() = runTest {
         val blocked = BlockedReads(store)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -24,6 +24,12 @@
     /** Waiting items that are not started, because servers crash on a part of their prompt. */
     val withheld = HashSet<ItemProgress>()
     val unstoredResults = ArrayList<ItemResult>()
+
+    /** Size of a chunk, in bytes; smaller once the store has rejected a chunk of several results. */
+    var maxChunkBytes = Int.MAX_VALUE
+
+    /** Times that the store has rejected a chunk with a single result. */
+    var rejectedResults = 0
     var isStopped = false
     var isStoring = false
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -96,7 +96,7 @@
 
     private val store = this.platform.store
     private val writer = IdempotentWriter(store, timer, "${self.vm}/${self.incarnation}")
-    private val jobStore = JobStore(store, writer, ::logUnreadable)
+    private val jobStore = JobStore(store, writer, settings.maxObjectBytes, ::logUnreadable)
     private val protocol = this.platform.protocol
     private val pool = HttpClientPool(loop) { metrics.increment("connections_opened") }
     private val backendCalls = BackendCalls(pool, tracker, quarantine, protocol, timer)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
@@ -2,6 +2,7 @@
 
 import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.jobs.JobStore
 
 /** Settings of an entry node. Addresses are `IP:PORT`. */
 data class EntrySettings(
@@ -20,4 +21,6 @@
     val rateWindowMillis: Long = 5_000,
     /** Time that the platform allows between SIGTERM and SIGKILL. */
     val stopGraceMillis: Long = 8_000,
+    /** Size of an object that the platform's store accepts. */
+    val maxObjectBytes: Int = JobStore.DEFAULT_MAX_OBJECT_BYTES,
 )
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -11,10 +11,13 @@
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.jobs.BatchJob
 import ragwortbarrow.core.jobs.ItemProgress
+import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.jobs.JobStore
+import ragwortbarrow.core.jobs.ResultChunk
 import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.jobs.RunOutcome
+import ragwortbarrow.core.jobs.encodedBytes
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.placement.BackendServer
@@ -423,27 +426,44 @@
 
     private suspend fun storeChunk(job: ActiveJob) {
         val id = job.job.id
-        val batch = job.unstoredResults.toList()
-        val chunk = job.log.nextChunk(batch)
+        val chunk = job.log.nextChunk(job.unstoredResults, minOf(components.jobStore.maxChunkBytes, job.maxChunkBytes))
         if (chunk.results.isEmpty()) {
-            job.unstoredResults.removeAll(batch.toSet())
+            removeStoredResults(job)
             return
         }
         val number = job.log.nextChunkNumber
         components.jobStore.appendResults(id, number, chunk).fold(
             {
                 job.log.add(number, chunk)
-                job.unstoredResults.removeAll(batch.toSet())
+                removeStoredResults(job)
                 job.signalChange()
                 log.record("results_stored", "job" to id, "chunk" to number, "results" to chunk.results.size)
             },
             { error ->
                 log.record("results_not_stored", "job" to id, "chunk" to number, "reason" to error)
+                if (error is StoreError.Rejected) handleRejection(job, chunk)
                 if (error is StoreError.AlreadyExists) resolveConflict(job) else timer.pause(RETRY_MILLIS)
             },
         )
     }
 
+    private fun removeStoredResults(job: ActiveJob) = job.unstoredResults.removeAll { job.log.contains(it.id) }
+
+    /** Makes the next chunk smaller, or gives up the output of an item whose result alone is rejected repeatedly. */
+    private fun handleRejection(job: ActiveJob, chunk: ResultChunk) {
+        val result = chunk.results.singleOrNull()
+        if (result == null) {
+            job.maxChunkBytes = chunk.encodedBytes / 2
+            return
+        }
+        job.rejectedResults++
+        if (!result.isCompleted || job.rejectedResults < MAX_RESULT_REJECTIONS) return
+        job.rejectedResults = 0
+        val failed = ItemResult(result.id, isCompleted = false)
+        job.unstoredResults.replaceAll { if (it.id == result.id) failed else it }
+        log.record("result_given_up", "job" to job.job.id, "item" to result.id, "bytes" to chunk.encodedBytes)
+    }
+
     /** Handles a number that is in use: another node took the job over, or an earlier try of this write took effect. */
     private suspend fun resolveConflict(job: ActiveJob) {
         if (!reloadResults(job)) timer.pause(RETRY_MILLIS)
@@ -493,6 +513,9 @@
 
         const val RETRY_MILLIS = 300L
 
+        /** Times that a single result is rejected before its output is given up; its readers would wait forever. */
+        const val MAX_RESULT_REJECTIONS = 3
+
         /** Pause of an item whose server closed the connection, so that it does not crash many servers at once. */
         const val DISCONNECT_PAUSE_MILLIS = 1_000L
 
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -36,7 +36,8 @@
     /**
      * A stream of [events] events, [gapMillis] apart, that begins after [delayMillis]; if [breakAfter] is set, the
      * connection breaks after that many events. If [silentAfter] is set, nothing is sent for [silenceMillis] after that
-     * many events. With [ignoresResume] it begins at the first event in any case.
+     * many events. With [ignoresResume] it begins at the first event in any case. [padding] follows the text of each
+     * event.
      */
     data class Stream(
         val events: Int,
@@ -46,6 +47,7 @@
         val silentAfter: Int? = null,
         val silenceMillis: Long = 0,
         val ignoresResume: Boolean = false,
+        val padding: String = "",
     ) : RunnerBehaviour
 
     /** Selects a behaviour for each request. */
@@ -283,7 +285,7 @@
                 output.send("9\r\nid: $event\n".take(PARTIAL_EVENT_BYTES))
                 return false
             }
-            output.sendChunk("id: $event\ndata: piece $event\n\n")
+            output.sendChunk("id: $event\ndata: piece $event${behaviour.padding}\n\n")
             if (behaviour.gapMillis > 0) LockSupport.parkNanos(behaviour.gapMillis * 1_000_000)
         }
         output.send("0\r\n\r\n")
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -58,6 +58,13 @@
     @Volatile
     var responseDelayMillis = 0L
 
+    /** Rejects larger objects with 413. */
+    @Volatile
+    var maxValueBytes = 1024 * 1024
+
+    /** The number of writes that were rejected as too large. */
+    val tooLargeWrites = AtomicInteger()
+
     /** The number of further writes that take effect but whose connection is closed without a response. */
     val answersToLose = AtomicInteger()
 
@@ -145,8 +152,12 @@
             .associate { it.substringBefore('=') to it.substringAfter('=') }
         val kind = parts[0]
         val name = parts.getOrNull(1)
-        val body = exchange.requestBody.readBytes().decodeToString().takeIf { it.isNotEmpty() }
-            ?.let { Json.parseToJsonElement(it).jsonObject }
+        val bytes = exchange.requestBody.readBytes()
+        if (bytes.size > maxValueBytes) {
+            tooLargeWrites.incrementAndGet()
+            return respond(exchange, 413, JsonObject(emptyMap()))
+        }
+        val body = bytes.decodeToString().takeIf { it.isNotEmpty() }?.let { Json.parseToJsonElement(it).jsonObject }
         val (status, document) = when (exchange.requestMethod) {
             "GET" -> read(kind, name, query)
             "POST" -> synchronized(monitor) { create(kind, checkNotNull(body)) }
