Limit pages of results by the size of their JSON text

Cause: a page counted the characters of its results, not the bytes of the JSON text, in which quotes, line breaks and other characters are escaped.

Callers would see pages over the 1 MB of the protocol, and the same page again at each call.

Evidence: BatchPathTest "a page of results has at most 1 MB also if its text is escaped" failed before this change (1,601,431 bytes) and passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -26,6 +26,7 @@
 import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.jobs.JobStore
 import ragwortbarrow.core.jobs.ResultLog
+import ragwortbarrow.core.jobs.takeEncoded
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.peer.PeerError
@@ -389,15 +390,8 @@
     }
 }
 
-/** The results that fit into one page: at most about 1 MB, but at least one result. */
-private fun List<ItemResult>.takePage(): List<ItemResult> {
-    var sizeBytes = 0
-    return takeWhile { result ->
-        val isFirst = sizeBytes == 0
-        sizeBytes += result.output.length + RESULT_OVERHEAD_BYTES
-        isFirst || sizeBytes <= MAX_PAGE_BYTES
-    }
-}
+/** The results that fit into one page of the callers' API, which has up to 1 MB. */
+private fun List<ItemResult>.takePage(): List<ItemResult> = takeEncoded(MAX_PAGE_BYTES)
 
 private fun BatchJob.body(item: String): ByteArray? =
     items.firstOrNull { it.id == item }?.let(BatchItem::bodyBase64)?.let { Base64.getDecoder().decode(it) }
@@ -407,4 +401,3 @@
 internal fun FleetMembers.mayRun(holder: JobHolder): Boolean = mayRun(VmId(holder.vm), holder.incarnation)
 
 private const val MAX_PAGE_BYTES = 900_000
-private const val RESULT_OVERHEAD_BYTES = 100
