Refuse a job that is too large for the store with 413

Cause: a rejection of the object by the store counted as an outage, so a job that can never be stored was answered with 503 and Retry-After.

Callers saw a promise that a later attempt may be accepted, and would send the same body again until their time was up.

Change: 413 (1002) with the size and the store's reason, without Retry-After.

Evidence: BatchPathTest "a job that is too large for the store is refused for good" failed before this change (503) and passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -130,6 +130,10 @@
                             Execution.UNKNOWN,
                         ),
                     )
+                    is StoreError.Rejected -> {
+                        val reason = "a job of ${message.body.size} bytes is not accepted: ${error.message}"
+                        reject(head, reply, ResultCode.BODY_TOO_LARGE, reason)
+                    }
                     else -> reject(head, reply, ResultCode.PLATFORM_UNAVAILABLE, error.message)
                 }
             },
