--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
@@ -22,7 +22,7 @@
     /** Ids of the parts that the item's prompt may share with others. */
     val sharedPromptParts: List<String> = emptyList(),
 ) {
-    private val output = StringBuilder()
+    private var output = StringBuilder()
     private var failedAttempts = 0
 
     /** Monotonic time before which the item is not started again. */
@@ -32,6 +32,10 @@
     var lastEventId: Long? = null
         private set
 
+    /** Size of the output received so far as JSON text, in bytes. */
+    var outputBytes = 0
+        private set
+
     /** The final result, or null while the item has none. */
     var result: ItemResult? = null
         private set
@@ -43,13 +47,15 @@
         if (last != null && id != last + 1) return false
         if (last != null) output.append('\n')
         output.append(data)
+        outputBytes += encodedBytes(data) + encodedBytes("\n")
         lastEventId = id
         return true
     }
 
     /** Discards the output received so far; the next run begins at the first event. */
     fun startOver() {
-        output.setLength(0)
+        output = StringBuilder()
+        outputBytes = 0
         lastEventId = null
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -47,6 +47,8 @@
     private val scope: CoroutineScope,
     private val metrics: EntryMetrics,
     private val log: DecisionLog,
+    /** Memory for the outputs of all items that have no stored result, as JSON text in bytes. */
+    private val maxOutputBytes: Long = Runtime.getRuntime().maxMemory() / OUTPUT_SHARE_OF_HEAP,
 ) {
     class Components(
         val configuration: ConfigurationHolder,
@@ -193,7 +195,8 @@
     private class Candidate(val job: ActiveJob, val item: ItemProgress, val route: Route, val urgency: Urgency)
 
     private fun startWaitingItems() {
-        if (isStopping || remainingStarts <= 0) return
+        // While the store is away, results wait in memory.
+        if (isStopping || remainingStarts <= 0 || heldOutputBytes() > maxOutputBytes) return
         val candidates = activeJobs.values.filter { !it.isStopped && it.waiting.isNotEmpty() }
             .flatMap { candidates(it) }
         // A service without a slot for one item has none for others with the same slack.
@@ -269,7 +272,7 @@
                 throw cancelled
             } catch (failure: HttpFailure.Disconnected) {
                 if (progress.lastEventId == eventIdBefore) {
-                    progress.startableAtMillis = timer.monotonicMillis() + DISCONNECT_PAUSE_MILLIS
+                    progress.startableAtMillis = timer.monotonicMillis() + FAULTY_SERVER_PAUSE_MILLIS
                 }
                 outcome = RunOutcome.Interrupted(failure.message.orEmpty())
             } catch (failure: HttpFailure) {
@@ -355,6 +358,7 @@
                 response.recordAnswer()
                 if (!progress.appendEvent(id, event.data)) throw HttpFailure.Broken("events before $id are missing")
                 lastEventNanos = timer.nanoTime()
+                limitOutput(progress)
             }
         }
         if (splitter.hasPartialEvent) throw HttpFailure.Broken("the stream ended within an event")
@@ -366,6 +370,36 @@
         return RunOutcome.Completed
     }
 
+    /**
+     * Discards the output of [progress] if it does not fit into a chunk of results, and the largest output if all
+     * together take too much memory. A server that sends events without end would fill the memory otherwise.
+     */
+    private fun limitOutput(progress: ItemProgress) {
+        if (progress.outputBytes <= LARGE_OUTPUT_BYTES) return
+        val limitBytes = components.jobStore.maxChunkBytes
+        if (progress.outputBytes > limitBytes) {
+            discardOutput(progress)
+            throw HttpFailure.Broken("the output exceeds $limitBytes bytes")
+        }
+        if (heldOutputBytes() <= maxOutputBytes) return
+        val largest = activeJobs.values.flatMap { it.running.keys + it.waiting }.maxBy { it.outputBytes }
+        discardOutput(largest)
+        if (largest === progress) throw HttpFailure.Broken("the outputs of all items exceed $maxOutputBytes bytes")
+        for (job in activeJobs.values) job.running[largest]?.job?.cancel()
+    }
+
+    private fun discardOutput(progress: ItemProgress) {
+        log.record("output_discarded", "item" to progress.item.id, "bytes" to progress.outputBytes)
+        metrics.increment("batch_outputs_discarded")
+        progress.startOver()
+        progress.startableAtMillis = timer.monotonicMillis() + FAULTY_SERVER_PAUSE_MILLIS
+    }
+
+    private fun heldOutputBytes(): Long = activeJobs.values.sumOf { job ->
+        (job.running.keys + job.waiting).sumOf { it.outputBytes.toLong() } +
+            job.unstoredResults.sumOf { it.output.length.toLong() }
+    }
+
     private fun finishItem(job: ActiveJob, progress: ItemProgress, outcome: RunOutcome) {
         val running = job.running.remove(progress)
         progress.applyOutcome(outcome)
@@ -505,6 +539,12 @@
     val hasUnstoredResults: Boolean get() = activeJobs.values.any { it.unstoredResults.isNotEmpty() || it.isStoring }
 
     private companion object {
+        /** The rest of the heap is for the requests of callers, for jobs and for their results. */
+        const val OUTPUT_SHARE_OF_HEAP = 8
+
+        /** Far above usual outputs, so that the sum over all items is rarely needed. */
+        const val LARGE_OUTPUT_BYTES = 128 * 1024
+
         /** Time until all nodes know that items were stopped. */
         const val LOAD_PROPAGATION_NANOS = 600_000_000L
 
@@ -516,8 +556,11 @@
         /** Times that a single result is rejected before its output is given up; its readers would wait forever. */
         const val MAX_RESULT_REJECTIONS = 3
 
-        /** Pause of an item whose server closed the connection, so that it does not crash many servers at once. */
-        const val DISCONNECT_PAUSE_MILLIS = 1_000L
+        /**
+         * Pause of an item whose server closed the connection, so that it does not crash many servers at once, or sent
+         * more than an output may have.
+         */
+        const val FAULTY_SERVER_PAUSE_MILLIS = 1_000L
 
         /** Below one second: a result that a caller has read from one node must be on all nodes a second later. */
         const val REREAD_INTERVAL_NANOS = 400_000_000L
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
@@ -128,6 +128,7 @@
             scope,
             EntryMetrics(),
             DecisionLog.NONE,
+            maxOutputBytes = MAX_OUTPUT_BYTES,
         )
     }
 
@@ -145,4 +146,8 @@
         items = (1..items).map { BatchItem("item-$it", "/quote/$it") },
         holder = JobHolder(holder.vm.value, holder.incarnation),
     )
+
+    companion object {
+        const val MAX_OUTPUT_BYTES = 1_000_000L
+    }
 }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.placement.Occupancy
 import strikt.api.expectThat
@@ -87,4 +88,23 @@
         expectThat(itemsInFlight()).isEqualTo(0)
         expectThat(runner.waitingItems).isEqualTo(0)
     }
+
+    /** Guards against results that fill the memory while the store is away. */
+    @Test
+    fun `no items start while the results that wait for the store take too much memory`() {
+        runner.startJob(fixture.job(items = 3), ResultLog(3))
+        fixture.dispatcher.runQueued()
+        val started = itemsInFlight()
+        val output = "x".repeat(JobRunnerFixture.MAX_OUTPUT_BYTES.toInt() + 1)
+        val job = checkNotNull(runner.activeJob("job"))
+        job.unstoredResults += ItemResult("item-0", isCompleted = true, output)
+        runner.startJob(fixture.job(items = 3).copy(id = "job-2"), ResultLog(3))
+        runner.rebalance()
+        fixture.dispatcher.runQueued()
+        expectThat(itemsInFlight()).isEqualTo(started)
+        job.unstoredResults.clear()
+        runner.rebalance()
+        fixture.dispatcher.runQueued()
+        expectThat(itemsInFlight()).isEqualTo(6)
+    }
 }
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.locks.LockSupport
 
 /** A request that a runner received. */
@@ -77,6 +78,9 @@
     /** A stream of [events] events that then sends only comment bytes, one every [gapMillis], and never ends. */
     data class Stuck(val events: Int, val gapMillis: Long = 50) : RunnerBehaviour
 
+    /** A stream whose events, of 8 KB each, only end when the client closes or [limitBytes] have been sent. */
+    data class Endless(val limitBytes: Long = 64L * 1024 * 1024) : RunnerBehaviour
+
     /** A response with neither a length nor chunks, which ends with its connection: closed, or reset if [isReset]. */
     data class Unframed(
         val body: String,
@@ -110,6 +114,9 @@
     /** Error messages of connections that the client closed before the response was complete. */
     val abandoned = ConcurrentLinkedQueue<String>()
 
+    /** Bytes of events sent by [RunnerBehaviour.Endless]. */
+    val endlessBytes = AtomicLong()
+
     /** Number of [RunnerBehaviour.Crash]es. */
     val crashes = AtomicInteger()
 
@@ -221,6 +228,10 @@
             is RunnerBehaviour.Plain -> output.send(completeResponse(request, behaviour.status, behaviour.body))
             is RunnerBehaviour.LateCopy -> output.send(completeResponse(request, behaviour.status, behaviour.body))
             is RunnerBehaviour.Stuck -> sendStuckStream(request, behaviour, output)
+            is RunnerBehaviour.Endless -> {
+                sendEndlessStream(request, behaviour, output)
+                return false
+            }
             is RunnerBehaviour.Slow -> {
                 LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
                 output.send(completeResponse(request, 200, behaviour.body))
@@ -271,6 +282,15 @@
         }
     }
 
+    private fun sendEndlessStream(request: RunnerRequest, behaviour: RunnerBehaviour.Endless, output: OutputStream) {
+        output.send(streamHead(request))
+        val data = "x".repeat(ENDLESS_EVENT_CHARS)
+        var event = request.header("Last-Event-Id")?.toInt() ?: 0
+        while (endlessBytes.addAndGet(data.length.toLong()) < behaviour.limitBytes) {
+            output.sendChunk("id: ${++event}\ndata: $data\n\n")
+        }
+    }
+
     private fun streamHead(request: RunnerRequest) =
         "HTTP/1.1 200 OK\r\n${echo(request)}X-Server-Stamp: stamp-$id\r\nContent-Type: text/event-stream\r\n" +
             "Transfer-Encoding: chunked\r\n\r\n"
@@ -315,6 +335,7 @@
         val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
         const val HEX = 16
         const val PARTIAL_EVENT_BYTES = 8
+        const val ENDLESS_EVENT_CHARS = 8_000
         const val RESET_DELAY_NANOS = 50_000_000L
     }
 }
