End a run of a batch item that goes on past its deadline

Cause: a server is told how long an item may still take, but a run that went on past that was read for as long as any event came, also a repeated one. A faulty server could hold an item, its slot and its output for good.

Callers would see an item that is neither completed nor given up (LOST).

Only new events count as progress.

Evidence: BatchPathTest "a run that goes on past the deadline of its item is ended" failed before this change (not given up within 8 s) and passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -316,7 +316,7 @@
                     components.tracker.block(server.id, FULL_SERVER_PAUSE_MILLIS)
                     RunOutcome.Interrupted("server answered $status, not run")
                 }
-                response.head.isStream -> readStream(response, progress).also {
+                response.head.isStream -> readUntilDeadline(response, progress, head).also {
                     if (it == RunOutcome.Completed) components.tracker.recordSuccess(server.id)
                     if (it == RunOutcome.Completed && isFromStart) {
                         runTimes.recordRun(millisSince(startedNanos), progress.lastEventId ?: 0)
@@ -343,6 +343,17 @@
             ?: throw HttpFailure.Broken("the body of an error lasts longer than $IDLE_LIMIT_MILLIS ms")
     }
 
+    /** Reads the stream of a run; its server was told the deadline and is faulty if it goes on past it. */
+    private suspend fun readUntilDeadline(
+        response: StreamingResponse,
+        progress: ItemProgress,
+        head: BackendRequestHead,
+    ): RunOutcome {
+        val limitMillis = checkNotNull(head.deadlineMillis) + IDLE_LIMIT_MILLIS
+        return withTimeoutOrNull(limitMillis) { readStream(response, progress) }
+            ?: throw HttpFailure.Broken("the run has not ended within $limitMillis ms")
+    }
+
     private suspend fun readStream(response: StreamingResponse, progress: ItemProgress): RunOutcome {
         val splitter = EventSplitter()
         val lastEventIdBefore = progress.lastEventId
@@ -356,8 +367,9 @@
             for (event in splitter.add(bytes)) {
                 val id = event.id ?: continue
                 response.recordAnswer()
+                val lastId = progress.lastEventId
                 if (!progress.appendEvent(id, event.data)) throw HttpFailure.Broken("events before $id are missing")
-                lastEventNanos = timer.nanoTime()
+                if (progress.lastEventId != lastId) lastEventNanos = timer.nanoTime()
                 limitOutput(progress)
             }
         }
