Let the bodies of all responses share a limit of memory

Cause: a body that is read whole may have up to 16 MB, and each connection had that limit for itself. Servers that send bodies without end on several connections took the memory of the entry process (160 MB of heap).

Endless heads were bounded before (FaultyResponseTest).

Change: bodies that are read whole take up to an eighth of the heap together; above it the largest one fails. Smaller, sound ones are read on.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -13,6 +13,7 @@
 class HttpAnswer internal constructor(
     private val onProgress: () -> Unit,
     internal val isExpected: (HttpResponse) -> Boolean,
+    private val memory: BodyMemory,
     private val setReading: (Boolean) -> Unit,
 ) {
     private val head = CompletableDeferred<HttpResponse>()
@@ -52,13 +53,26 @@
         setReading(shouldRead)
     }
 
-    /** Reads the rest of the body. Throws [HttpFailure.Broken] if it is truncated or exceeds [limitBytes]. */
+    /**
+     * Reads the rest of the body. Throws [HttpFailure.Broken] if it is truncated, if it exceeds [limitBytes], or if it
+     * is the largest one while all bodies together take too much memory.
+     */
     suspend fun rest(limitBytes: Int): ByteArray {
+        val body = memory.open()
+        try {
+            return rest(limitBytes, body)
+        } finally {
+            body.release()
+        }
+    }
+
+    private suspend fun rest(limitBytes: Int, memory: BodyMemory.Body): ByteArray {
         val parts = ArrayList<ByteArray>()
         var sizeBytes = 0
         while (true) {
             val part = next() ?: break
             sizeBytes += part.size
+            memory.grow(part.size)
             if (sizeBytes > limitBytes) throw HttpFailure.Broken("the response exceeds $limitBytes bytes")
             parts += part
         }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -23,7 +23,11 @@
  * A client connection that carries one request at a time. Data that arrives while no request is pending closes the
  * connection, since it cannot be assigned to a request.
  */
-class HttpClientConnection internal constructor(internal val channel: Channel, val address: String) {
+class HttpClientConnection internal constructor(
+    internal val channel: Channel,
+    val address: String,
+    private val memory: BodyMemory,
+) {
     private var answer: HttpAnswer? = null
     private var isDiscarding = false
     private var keepAliveSeconds: Long? = null
@@ -48,7 +52,7 @@
         onProgress: () -> Unit = {},
         isExpected: (HttpResponse) -> Boolean = { true },
     ): HttpAnswer {
-        val pending = HttpAnswer(onProgress, isExpected) { channel.config().isAutoRead = it }
+        val pending = HttpAnswer(onProgress, isExpected, memory) { channel.config().isAutoRead = it }
         answer = pending
         bytesBeforeHead = 0
         isRequestWritten = false
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -19,13 +19,15 @@
 /**
  * Pools client connections by address and reuses the most recently used one first. Must be used only on [loop]. An idle
  * connection is reused only well before its server's keep-alive timeout, since the server may close it at that time.
- * [onConnect] is called for each new connection.
+ * Bodies that are read whole take up to [maxBodyBytes] of memory together. [onConnect] is called for each new connection.
  */
 class HttpClientPool(
     private val loop: EventLoop,
     private val connectTimeoutMillis: Int = 200,
+    maxBodyBytes: Long = Runtime.getRuntime().maxMemory() / BODY_SHARE_OF_HEAP,
     private val onConnect: (address: String) -> Unit = {},
 ) {
+    private val memory = BodyMemory(maxBodyBytes)
     private val idle = HashMap<String, ArrayDeque<HttpClientConnection>>()
 
     /**
@@ -84,7 +86,7 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    val created = HttpClientConnection(channel, address)
+                    val created = HttpClientConnection(channel, address, memory)
                     connection = created
                     channel.pipeline().addLast(
                         created.HeadSizeLimiter(),
@@ -114,6 +116,9 @@
         /** The fraction of a server's keep-alive timeout within which an idle connection is reused. */
         const val KEPT_SHARE = 0.8
 
+        /** A body takes its size twice for a moment, when it is complete. */
+        private const val BODY_SHARE_OF_HEAP = 8
+
         /** Maximum idle connections per address; each one counts towards the connection limit of its server. */
         private const val MAX_IDLE_PER_ADDRESS = 16
 
--- a/http/src/test/kotlin/ragwortbarrow/http/FaultyResponseTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/FaultyResponseTest.kt
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpResponse
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -14,6 +16,8 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectCatching
 import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFailure
@@ -121,6 +125,48 @@
         expectCatching { call(address) { it.rest(limitBytes = 1_000_000) } }.isFailure().isA<HttpFailure.Broken>()
     }
 
+    /**
+     * Guards against a process that ends for lack of memory: each body stays below the limit of its reader, all together
+     * do not.
+     */
+    @Test
+    fun `bodies without end on many connections share a limit`() {
+        val address = serve("HTTP/1.1 200 OK\r\n\r\n", "x")
+        val pool = HttpClientPool(loop, maxBodyBytes = 4_000_000)
+        val request = HttpRequestMessage("GET", "/", DefaultHttpHeaders(), ByteArray(0))
+        val failures = runBlocking {
+            withContext(loop.asCoroutineDispatcher()) {
+                val reads = List(8) {
+                    async {
+                        val connection = pool.acquire(address)
+                        runCatching { connection.send(request).rest(limitBytes = 100_000_000) }.also { connection.close() }
+                    }
+                }
+                withTimeout(LIMIT_MILLIS) { reads.awaitAll() }
+            }
+        }
+        expectThat(failures.map { it.exceptionOrNull() }).all { isA<HttpFailure.Broken>() }
+        expectThat(sentBytes.get()).isLessThan(8 * SOCKET_BUFFERS_BYTES)
+    }
+
+    @Test
+    fun `a sound body is read while another one without end takes too much memory`() {
+        val endless = serve("HTTP/1.1 200 OK\r\n\r\n", "x")
+        val sound = serve("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", "x")
+        val pool = HttpClientPool(loop, maxBodyBytes = 1_000_000)
+        val request = HttpRequestMessage("GET", "/", DefaultHttpHeaders(), ByteArray(0))
+        val sizes = runBlocking {
+            withContext(loop.asCoroutineDispatcher()) {
+                val connections = listOf(endless, endless, sound).map { pool.acquire(it) }
+                val reads = connections.map {
+                    async { runCatching { it.send(request).rest(limitBytes = 100_000_000).size }.getOrNull() }
+                }
+                withTimeout(LIMIT_MILLIS) { reads.awaitAll() }.also { connections.forEach { it.close() } }
+            }
+        }
+        expectThat(sizes).containsExactly(null, null, 100_000)
+    }
+
     /** A caller on a slow link takes the events of a stream more slowly than its server sends them. */
     @Test
     fun `a body that is not read stops the server instead of filling the memory`() {
