Send nothing new to a server that says in its responses that it leaves

Cause: Server-Leaving was read nowhere. Only the store's entry took a server out of the choice, and it may come later than the first such answer.

Change: an answer with the header makes the server draining at this node, for online requests, retries, streams that move and batch items, until its process has started again (field born of its entry; a server without it counts as new once its entry was gone). Idle connections to it are closed. The log has backend_server_leaving.

--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BackendServer.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BackendServer.kt
@@ -12,4 +12,6 @@
     /** Maximum number of requests that the server runs concurrently. */
     val slots: Int,
     val isDraining: Boolean = false,
+    /** Identifies the start of the server's process, which may keep its id; null if the server does not tell. */
+    val incarnation: Long? = null,
 )
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
@@ -38,10 +38,17 @@
     private val consecutiveUnanswered = HashMap<BackendServerId, Int>()
     private val blockedUntilMillis = HashMap<BackendServerId, Long>()
 
+    /** The incarnations of servers that said in a response that they leave. */
+    private val leavingIncarnations = HashMap<BackendServerId, Long?>()
+
+    /** Called when a server that was not known to drain says that it leaves. */
+    var onLeaving: (BackendServer) -> Unit = {}
+
     /** Replaces the list of servers. */
     fun replace(list: Collection<BackendServer>) {
-        servers = list.associateBy { it.id }
-        serversByService = list.groupBy { it.service }
+        setServers(list.map { if (isLeaving(it)) it.copy(isDraining = true) else it })
+        // Without an incarnation, a server that was removed and is listed again counts as a new one.
+        leavingIncarnations.entries.removeIf { (server, incarnation) -> incarnation == null && server !in servers }
         health.retainAll(servers.keys)
         blockedUntilMillis.keys.retainAll(servers.keys)
         localOutcomes.keys.retainAll(servers.keys)
@@ -49,8 +56,28 @@
         consecutiveUnanswered.keys.retainAll(servers.keys)
     }
 
+    private fun setServers(list: Collection<BackendServer>) {
+        servers = list.associateBy { it.id }
+        serversByService = list.groupBy { it.service }
+    }
+
+    private fun isLeaving(server: BackendServer) =
+        server.id in leavingIncarnations && leavingIncarnations[server.id] == server.incarnation
+
     fun all(): Collection<BackendServer> = servers.values
 
+    /**
+     * Records that [server] said in a response that it leaves. It counts as draining until its process has started
+     * again, whatever the list of servers says.
+     */
+    fun recordLeaving(server: BackendServer) {
+        leavingIncarnations[server.id] = server.incarnation
+        val listed = servers[server.id]?.takeIf { isLeaving(it) && !it.isDraining } ?: return
+        val draining = listed.copy(isDraining = true)
+        setServers(servers.values.map { if (it.id == draining.id) draining else it })
+        onLeaving(draining)
+    }
+
     /** Records that response bytes arrived from [server]. */
     fun recordActivity(server: BackendServerId) {
         lastActivityMillis[server] = timer.monotonicMillis()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -62,7 +62,12 @@
             }
             val answer = connection.send(request, onProgress) { protocol.isResponseTo(it, requestId) }
             val httpResponse = awaitHead(answer, timeouts)
-            val response = StreamingResponse(protocol.parseResponseHead(httpResponse), httpResponse, answer, prompt)
+            val head = protocol.parseResponseHead(httpResponse)
+            if (head.isLeaving) {
+                tracker.recordLeaving(server)
+                pool.drop(server.address)
+            }
+            val response = StreamingResponse(head, httpResponse, answer, prompt)
             call = BackendCall(server, response, isBatch, startMillis, connection, pool, tracker)
             return call
         } catch (abandoned: LeftQueue) {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -154,6 +154,10 @@
             pool.retain(addresses)
             assignPreferredSlots()
         }
+        tracker.onLeaving = {
+            log.record("backend_server_leaving", "server" to it.id, "incarnation" to it.incarnation)
+            assignPreferredSlots()
+        }
         stateExchange.onMemberRemoved = { channels.retain(members.others().mapTo(HashSet()) { it.address }) }
         stateExchange.onMembershipChange = {
             assignPreferredSlots()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
@@ -44,6 +44,8 @@
     /** Whether the server states that it did not run the request. */
     val isNotRun: Boolean,
     val isEventStream: Boolean,
+    /** Whether the server states that it leaves and takes no new requests. */
+    val isLeaving: Boolean = false,
 ) {
     /** Whether the response is a server's own stream of events. */
     val isStream: Boolean get() = isEventStream && hasServerStamp && status in 200..299
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -108,12 +108,19 @@
     private val executor = Executors.newCachedThreadPool()
     private val upcoming = ConcurrentLinkedQueue(behaviours.toList())
 
+    /** Requests that were received, also those that were rejected. */
+    val received = ConcurrentLinkedQueue<RunnerRequest>()
+
     /** Requests whose execution started. */
     val ran = ConcurrentLinkedQueue<RunnerRequest>()
 
     /** Error messages of connections that the client closed before the response was complete. */
     val abandoned = ConcurrentLinkedQueue<String>()
 
+    /** Whether all responses state that the runner leaves. */
+    @Volatile
+    var isLeaving = false
+
     /** Bytes of events sent by [RunnerBehaviour.Endless]. */
     val endlessBytes = AtomicLong()
 
@@ -175,6 +182,7 @@
         while (true) {
             val request = readRequest(input) ?: return
             lateCopy?.let { output.send(it) }
+            received += request
             val behaviour = if (isMisdirected(request)) null else nextBehaviour(request)
             if (!respond(request, behaviour, connection, output)) return
             lateCopy = when (behaviour) {
@@ -321,7 +329,8 @@
     private fun refusal(idHeader: String) =
         "HTTP/1.1 503 Service Unavailable\r\n${idHeader}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
-    private fun echo(request: RunnerRequest) = "X-Request-Id: ${request.header("X-Request-Id")}\r\n"
+    private fun echo(request: RunnerRequest) =
+        "X-Request-Id: ${request.header("X-Request-Id")}\r\n" + if (isLeaving) "Server-Leaving: 1\r\n" else ""
 
     private fun OutputStream.sendChunk(text: String) = send("${text.length.toString(HEX)}\r\n$text\r\n")
 
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -109,7 +109,14 @@
     private fun rawJson(text: String) = JsonUnquotedLiteral(text)
 
     /** Writes the entry of a backend server, like the server itself. */
-    fun putServer(id: String, address: String, zone: String, state: String = "ready", service: String = "engines") {
+    fun putServer(
+        id: String,
+        address: String,
+        zone: String,
+        state: String = "ready",
+        service: String = "engines",
+        bornMillis: Long = 1_700_000_000_000L,
+    ) {
         val entry = buildJsonObject {
             put("service", service)
             put("address", address)
@@ -119,6 +126,7 @@
             put("state", state)
             put("cold_remaining_ms", 0)
             put("sequence", 1)
+            put("born", bornMillis)
         }
         put("servers", id, entry)
     }
