--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -94,6 +94,9 @@
     /** A response that is cut off within its body. */
     data class Truncated(val body: String) : RunnerBehaviour
 
+    /** The first [sentBytes] of a complete response, after which the connection is closed. */
+    data class CutOff(val body: String, val sentBytes: Int) : RunnerBehaviour
+
     /** Closes all connections and refuses new ones for [outageMillis], as a process that ends and starts again. */
     data class Crash(val outageMillis: Long) : RunnerBehaviour
 }
@@ -257,6 +260,10 @@
                 output.send(completeResponse(request, 200, behaviour.body).dropLast(1))
                 return false
             }
+            is RunnerBehaviour.CutOff -> {
+                output.send(completeResponse(request, 200, behaviour.body).take(behaviour.sentBytes))
+                return false
+            }
             is RunnerBehaviour.Unframed -> {
                 output.send(
                     "HTTP/1.1 200 OK\r\n${echo(request)}X-Server-Stamp: stamp-$id\r\n" +
