--- a/entry/src/main/kotlin/ragwortbarrow/entry/LostContact.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/LostContact.kt
@@ -29,7 +29,8 @@
         isIsolated = lost.isNotEmpty() && members.reachable().isEmpty()
         // Read in each call, since the pause is measured from the previous one.
         val wasPaused = wasPaused()
-        if (wasPaused || isBack || (wasIsolated && !isIsolated)) onRegained()
+        val isFirstContact = wasIsolated && !isIsolated
+        if (wasPaused || isBack || isFirstContact) onRegained()
     }
 
     /** The monotonic clock stands still while a VM is suspended, the wall clock does not. */
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -19,7 +19,8 @@
 /**
  * Pools client connections by address and reuses the most recently used one first. Must be used only on [loop]. An idle
  * connection is reused only well before its server's keep-alive timeout, since the server may close it at that time.
- * Bodies that are read whole take up to [maxBodyBytes] of memory together. [onConnect] is called for each new connection.
+ * Bodies that are read whole take up to [maxBodyBytes] of memory together. [onConnect] is called for each new
+ * connection.
  */
 class HttpClientPool(
     private val loop: EventLoop,
--- a/http/src/test/kotlin/ragwortbarrow/http/FaultyResponseTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/FaultyResponseTest.kt
@@ -22,6 +22,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFailure
 import strikt.assertions.isLessThan
+import strikt.assertions.isNull
 import java.io.IOException
 import java.io.OutputStream
 import java.net.InetAddress
@@ -132,38 +133,33 @@
     @Test
     fun `bodies without end on many connections share a limit`() {
         val address = serve("HTTP/1.1 200 OK\r\n\r\n", "x")
-        val pool = HttpClientPool(loop, maxBodyBytes = 4_000_000)
-        val request = HttpRequestMessage("GET", "/", DefaultHttpHeaders(), ByteArray(0))
-        val failures = runBlocking {
-            withContext(loop.asCoroutineDispatcher()) {
-                val reads = List(8) {
-                    async {
-                        val connection = pool.acquire(address)
-                        runCatching { connection.send(request).rest(limitBytes = 100_000_000) }.also { connection.close() }
-                    }
-                }
-                withTimeout(LIMIT_MILLIS) { reads.awaitAll() }
-            }
-        }
-        expectThat(failures.map { it.exceptionOrNull() }).all { isA<HttpFailure.Broken>() }
+        val sizes = readBodies(List(8) { address }, maxBodyBytes = 4_000_000)
+        expectThat(sizes).all { isNull() }
         expectThat(sentBytes.get()).isLessThan(8 * SOCKET_BUFFERS_BYTES)
     }
 
+    /** Reads one body from each of [addresses] at the same time; returns their sizes, null for those that fail. */
+    private fun readBodies(addresses: List<String>, maxBodyBytes: Long): List<Int?> = runBlocking {
+        withContext(loop.asCoroutineDispatcher()) {
+            val pool = HttpClientPool(loop, maxBodyBytes = maxBodyBytes)
+            val request = HttpRequestMessage("GET", "/", DefaultHttpHeaders(), ByteArray(0))
+            val connections = addresses.map { pool.acquire(it) }
+            val reads = connections.map { async { sizeOrNull(it.send(request)) } }
+            withTimeout(LIMIT_MILLIS) { reads.awaitAll() }.also { connections.forEach { it.close() } }
+        }
+    }
+
+    private suspend fun sizeOrNull(answer: HttpAnswer): Int? = try {
+        answer.rest(limitBytes = 100_000_000).size
+    } catch (broken: HttpFailure.Broken) {
+        null
+    }
+
     @Test
     fun `a sound body is read while another one without end takes too much memory`() {
         val endless = serve("HTTP/1.1 200 OK\r\n\r\n", "x")
         val sound = serve("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", "x")
-        val pool = HttpClientPool(loop, maxBodyBytes = 1_000_000)
-        val request = HttpRequestMessage("GET", "/", DefaultHttpHeaders(), ByteArray(0))
-        val sizes = runBlocking {
-            withContext(loop.asCoroutineDispatcher()) {
-                val connections = listOf(endless, endless, sound).map { pool.acquire(it) }
-                val reads = connections.map {
-                    async { runCatching { it.send(request).rest(limitBytes = 100_000_000).size }.getOrNull() }
-                }
-                withTimeout(LIMIT_MILLIS) { reads.awaitAll() }.also { connections.forEach { it.close() } }
-            }
-        }
+        val sizes = readBodies(listOf(endless, endless, sound), maxBodyBytes = 1_000_000)
         expectThat(sizes).containsExactly(null, null, 100_000)
     }
 
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -239,10 +239,6 @@
             is RunnerBehaviour.Plain -> output.send(completeResponse(request, behaviour.status, behaviour.body))
             is RunnerBehaviour.LateCopy -> output.send(completeResponse(request, behaviour.status, behaviour.body))
             is RunnerBehaviour.Stuck -> sendStuckStream(request, behaviour, output)
-            is RunnerBehaviour.Endless -> {
-                sendEndlessStream(request, behaviour, output)
-                return false
-            }
             is RunnerBehaviour.Slow -> {
                 LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
                 output.send(completeResponse(request, 200, behaviour.body))
@@ -256,12 +252,8 @@
             is RunnerBehaviour.Unstamped -> output.send(
                 "HTTP/1.1 200 OK\r\n${echo(request)}Content-Length: ${behaviour.body.length}\r\n\r\n${behaviour.body}",
             )
-            is RunnerBehaviour.Truncated -> {
-                output.send(completeResponse(request, 200, behaviour.body).dropLast(1))
-                return false
-            }
-            is RunnerBehaviour.CutOff -> {
-                output.send(completeResponse(request, 200, behaviour.body).take(behaviour.sentBytes))
+            is RunnerBehaviour.Truncated, is RunnerBehaviour.CutOff, is RunnerBehaviour.Endless -> {
+                sendUnfinished(request, behaviour, output)
                 return false
             }
             is RunnerBehaviour.Unframed -> {
@@ -281,6 +273,17 @@
         return true
     }
 
+    /** Sends a response that the client can only find to be broken off. */
+    private fun sendUnfinished(request: RunnerRequest, behaviour: RunnerBehaviour, output: OutputStream) {
+        when (behaviour) {
+            is RunnerBehaviour.Truncated -> output.send(completeResponse(request, 200, behaviour.body).dropLast(1))
+            is RunnerBehaviour.CutOff ->
+                output.send(completeResponse(request, 200, behaviour.body).take(behaviour.sentBytes))
+            is RunnerBehaviour.Endless -> sendEndlessStream(request, behaviour, output)
+            else -> error("$behaviour sends a finished response")
+        }
+    }
+
     /** Resets [connection] when the client has had time to read what was sent. */
     private fun reset(connection: Socket) {
         LockSupport.parkNanos(RESET_DELAY_NANOS)
