Let items with large outputs of interrupted runs start again

Only results that wait for the store keep items from starting now; they become fewer when the store is back.

Evidence: JobRunnerTest "items with large outputs of interrupted runs start again" failed before this change (1 of 3 items in flight) and passes now.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -196,7 +196,7 @@
 
     private fun startWaitingItems() {
         // While the store is away, results wait in memory.
-        if (isStopping || remainingStarts <= 0 || heldOutputBytes() > maxOutputBytes) return
+        if (isStopping || remainingStarts <= 0 || unstoredBytes() > maxOutputBytes) return
         val candidates = activeJobs.values.filter { !it.isStopped && it.waiting.isNotEmpty() }
             .flatMap { candidates(it) }
         // A service without a slot for one item has none for others with the same slack.
@@ -393,7 +393,7 @@
             discardOutput(progress)
             throw HttpFailure.Broken("the output exceeds $limitBytes bytes")
         }
-        if (heldOutputBytes() <= maxOutputBytes) return
+        if (unstoredBytes() + unfinishedBytes() <= maxOutputBytes) return
         val largest = activeJobs.values.flatMap { it.running.keys + it.waiting }.maxBy { it.outputBytes }
         discardOutput(largest)
         if (largest === progress) throw HttpFailure.Broken("the outputs of all items exceed $maxOutputBytes bytes")
@@ -407,9 +407,11 @@
         progress.startableAtMillis = timer.monotonicMillis() + FAULTY_SERVER_PAUSE_MILLIS
     }
 
-    private fun heldOutputBytes(): Long = activeJobs.values.sumOf { job ->
-        (job.running.keys + job.waiting).sumOf { it.outputBytes.toLong() } +
-            job.unstoredResults.sumOf { it.output.length.toLong() }
+    private fun unstoredBytes(): Long =
+        activeJobs.values.sumOf { job -> job.unstoredResults.sumOf { it.output.length.toLong() } }
+
+    private fun unfinishedBytes(): Long = activeJobs.values.sumOf { job ->
+        job.running.keys.sumOf { it.outputBytes.toLong() } + job.waiting.sumOf { it.outputBytes.toLong() }
     }
 
     private fun finishItem(job: ActiveJob, progress: ItemProgress, outcome: RunOutcome) {
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -107,4 +107,16 @@
         fixture.dispatcher.runQueued()
         expectThat(itemsInFlight()).isEqualTo(6)
     }
+
+    /** Guards against items that wait for each other: the outputs of waiting items become smaller only by their runs. */
+    @Test
+    fun `items with large outputs of interrupted runs start again`() {
+        startJob(items = 3)
+        fixture.dispatcher.runQueued()
+        val output = "x".repeat(JobRunnerFixture.MAX_OUTPUT_BYTES.toInt())
+        checkNotNull(runner.activeJob("job")).waiting.forEach { it.appendEvent(1, output) }
+        runner.rebalance()
+        fixture.dispatcher.runQueued()
+        expectThat(itemsInFlight()).isEqualTo(3)
+    }
 }
