--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -58,21 +58,21 @@
      * is the largest one while all bodies together take too much memory.
      */
     suspend fun rest(limitBytes: Int): ByteArray {
-        val body = memory.open()
+        val reservation = memory.open()
         try {
-            return rest(limitBytes, body)
+            return rest(limitBytes, reservation)
         } finally {
-            body.release()
+            reservation.release()
         }
     }
 
-    private suspend fun rest(limitBytes: Int, memory: BodyMemory.Body): ByteArray {
+    private suspend fun rest(limitBytes: Int, reservation: BodyMemory.Body): ByteArray {
         val parts = ArrayList<ByteArray>()
         var sizeBytes = 0
         while (true) {
             val part = next() ?: break
             sizeBytes += part.size
-            memory.grow(part.size)
+            reservation.grow(part.size)
             if (sizeBytes > limitBytes) throw HttpFailure.Broken("the response exceeds $limitBytes bytes")
             parts += part
         }
