Record bytes of backend servers that belong to no request

Cause: a response that was discarded for its id, and bytes that arrived while no request was pending, left no trace, so that the hypotheses on the answers with a changed status could not be told apart in a node's log. Change: a stray_bytes line and counter for each such arrival, with the id and status that a discarded response names. What happens to the bytes is as before. Evidence: DocumentedEntryNodeTest, RepeatedRefusalTest, FaultyResponseTest and HttpServerTest pass (arm64).

--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import ragwortbarrow.core.error.ResultCode
 import ragwortbarrow.http.ConnectionCloseReason
+import ragwortbarrow.http.StrayBytesArrival
 import java.time.Duration
 import java.util.TreeMap
 import java.util.concurrent.TimeUnit
@@ -18,6 +19,7 @@
     private val firstEvents = HashMap<String, Timer>()
     private val refusals = HashMap<ResultCode, Counter>()
     private val unanswered = HashMap<ConnectionCloseReason, Counter>()
+    private val strayBytes = HashMap<StrayBytesArrival, Counter>()
     private val platformCalls = HashMap<Pair<String, String>, Counter>()
     private val callsSinceSummary = TreeMap<String, Int>()
     private val counters = HashMap<String, Counter>()
@@ -44,6 +46,12 @@
             .tag("closed_by", reason.name).register(registry)
     }.increment()
 
+    /** Counts bytes of a backend server that belong to no request. */
+    fun countStrayBytes(arrival: StrayBytesArrival) = strayBytes.getOrPut(arrival) {
+        Counter.builder("ragwortbarrow.entry.stray.bytes").description("Arrivals of bytes that belong to no request")
+            .tag("arrival", arrival.name).register(registry)
+    }.increment()
+
     /** Increments the counter [name], such as `connections_opened` or `batch_items_stopped`. */
     fun increment(name: String) = counters.getOrPut(name) {
         Counter.builder("ragwortbarrow.entry.$name").register(registry)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -48,6 +48,7 @@
 import ragwortbarrow.http.HttpRequestMessage
 import ragwortbarrow.http.HttpServer
 import ragwortbarrow.http.HttpServerLimits
+import ragwortbarrow.http.StrayBytes
 import ragwortbarrow.http.socketAddress
 import ragwortbarrow.peer.FleetEndpoint
 import ragwortbarrow.peer.GrpcChannels
@@ -98,7 +99,11 @@
     private val writer = IdempotentWriter(store, timer, "${self.vm}/${self.incarnation}")
     private val jobStore = JobStore(store, writer, settings.maxObjectBytes, ::logUnreadable)
     private val protocol = this.platform.protocol
-    private val pool = HttpClientPool(loop) { metrics.increment("connections_opened") }
+    private val pool = HttpClientPool(
+        loop,
+        onStrayBytes = ::recordStrayBytes,
+        onConnect = { metrics.increment("connections_opened") },
+    )
     private val backendCalls = BackendCalls(pool, tracker, quarantine, protocol, timer)
     private val runner = JobRunner(
         JobRunner.Components(
@@ -353,6 +358,18 @@
         "reason" to reason,
     )
 
+    private fun recordStrayBytes(stray: StrayBytes) {
+        val head = stray.response?.let(protocol::parseResponseHead)
+        log.record(
+            "stray_bytes",
+            "address" to stray.address,
+            "arrival" to stray.arrival,
+            "status" to head?.status,
+            "request_id" to head?.requestId?.let(::loggedName),
+        )
+        metrics.countStrayBytes(stray.arrival)
+    }
+
     private fun registerGauges() {
         metrics.registerGauge("requests.in.flight", "Requests of callers that are being served") {
             callerHandler.inFlight
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
@@ -46,6 +46,8 @@
     val isEventStream: Boolean,
     /** Whether the server states that it leaves and takes no new requests. */
     val isLeaving: Boolean = false,
+    /** Id of the request to which the server responds; null if it does not say. */
+    val requestId: String? = null,
 ) {
     /** Whether the response is a server's own stream of events. */
     val isStream: Boolean get() = isEventStream && hasServerStamp && status in 200..299
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -27,7 +28,10 @@
     internal val channel: Channel,
     val address: String,
     private val memory: BodyMemory,
+    private val onStrayBytes: (StrayBytes) -> Unit,
 ) {
+    internal val decoder = ResponseDecoder()
+
     private var answer: HttpAnswer? = null
     private var isDiscarding = false
     private var keepAliveSeconds: Long? = null
@@ -86,9 +90,18 @@
         current?.onBroken(failure)
     }
 
+    private fun reportStrayBytes(arrival: StrayBytesArrival, response: HttpResponse? = null) =
+        onStrayBytes(StrayBytes(address, arrival, response))
+
+    /** Decodes responses, and shows whether bytes follow the one that was decoded last. */
+    internal class ResponseDecoder : HttpResponseDecoder() {
+        val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
+    }
+
     /** Closes the connection if a server sends bytes without end before the head of the expected response. */
     internal inner class HeadSizeLimiter : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (answer == null) reportStrayBytes(StrayBytesArrival.WHILE_IDLE)
             if (answer?.hasHead == false && message is ByteBuf) {
                 bytesBeforeHead += message.readableBytes()
                 if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
@@ -115,8 +128,12 @@
         }
 
         private fun onHead(current: HttpAnswer, response: HttpResponse) {
-            isDiscarding = response.status().code() < 200 || !current.isExpected(response)
-            if (isDiscarding) return
+            val isInterim = response.status().code() < 200
+            isDiscarding = isInterim || !current.isExpected(response)
+            if (isDiscarding) {
+                if (!isInterim) reportStrayBytes(StrayBytesArrival.BEFORE_RESPONSE, response)
+                return
+            }
             keepAliveSeconds = response.headers().get("Keep-Alive")?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull() ?: keepAliveSeconds
             closeAfterResponse = !HttpUtil.isKeepAlive(response) ||
@@ -129,6 +146,7 @@
                 if (content.content().isReadable) current.onBytes(ByteBufUtil.getBytes(content.content()))
                 if (content is LastHttpContent) {
                     answer = null
+                    if (decoder.hasUndecodedBytes) reportStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
                     current.onEnd()
                 }
             } else if (content is LastHttpContent) {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.util.NetUtil
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -20,12 +19,13 @@
  * Pools client connections by address and reuses the most recently used one first. Must be used only on [loop]. An idle
  * connection is reused only well before its server's keep-alive timeout, since the server may close it at that time.
  * Bodies that are read whole take up to [maxBodyBytes] of memory together. [onConnect] is called for each new
- * connection.
+ * connection, [onStrayBytes] for bytes of a server that belong to no request.
  */
 class HttpClientPool(
     private val loop: EventLoop,
     private val connectTimeoutMillis: Int = 200,
     maxBodyBytes: Long = Runtime.getRuntime().maxMemory() / BODY_SHARE_OF_HEAP,
+    private val onStrayBytes: (StrayBytes) -> Unit = {},
     private val onConnect: (address: String) -> Unit = {},
 ) {
     private val memory = BodyMemory(maxBodyBytes)
@@ -87,12 +87,12 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    val created = HttpClientConnection(channel, address, memory)
+                    val created = HttpClientConnection(channel, address, memory, onStrayBytes)
                     connection = created
                     channel.pipeline().addLast(
                         created.HeadSizeLimiter(),
                         HttpRequestEncoder(),
-                        HttpResponseDecoder(),
+                        created.decoder,
                         created.Handler(),
                     )
                 }
