Keep no connection on which bytes arrived that belong to no request

Cause: the decoder of a connection kept bytes that arrived after a response and appended the next response to them. A copy that was cut off within its status line gave its status to the next response; id, stamp and body were those of the next one, so that every check of it passed. Class: state of a connection that outlives the response it belongs to. Change: bytes that arrive while no request is pending, or behind the end of a response, close the connection before it is used again. Bytes that come after the next request was sent can't be told from its response by their time: a head that contains a second status line fails the request. Netty refuses the other joints (a name with a slash, a status that is no number). Evidence: LateCopyTest cuts a copy after each byte, at three times: 3 of 3 failed on and on (status 200 with the body of a 500 for all cuts within the reason), pass now. OnlinePathTest, a late copy that is cut off makes no success of a failure: failed on with the body of the failure, passes now.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -22,7 +22,7 @@
 
 /**
  * A client connection that carries one request at a time. Data that arrives while no request is pending closes the
- * connection, since it cannot be assigned to a request.
+ * connection, since it cannot be assigned to a request, and so do bytes that follow a response.
  */
 class HttpClientConnection internal constructor(
     internal val channel: Channel,
@@ -93,15 +93,25 @@
     private fun reportStrayBytes(arrival: StrayBytesArrival, response: HttpResponse? = null) =
         onStrayBytes(StrayBytes(address, arrival, response))
 
+    /** The decoder may hold a part of a head, to which it would append the next response. */
+    private fun closeForStrayBytes(arrival: StrayBytesArrival) {
+        reportStrayBytes(arrival)
+        channel.close()
+    }
+
     /** Decodes responses, and shows whether bytes follow the one that was decoded last. */
     internal class ResponseDecoder : HttpResponseDecoder() {
         val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
     }
 
-    /** Closes the connection if a server sends bytes without end before the head of the expected response. */
+    /** Closes the connection if a server sends bytes while idle, or without end before the head of a response. */
     internal inner class HeadSizeLimiter : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (answer == null) reportStrayBytes(StrayBytesArrival.WHILE_IDLE)
+            if (answer == null) {
+                ReferenceCountUtil.release(message)
+                closeForStrayBytes(StrayBytesArrival.WHILE_IDLE)
+                return
+            }
             if (answer?.hasHead == false && message is ByteBuf) {
                 bytesBeforeHead += message.readableBytes()
                 if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
@@ -128,6 +138,11 @@
         }
 
         private fun onHead(current: HttpAnswer, response: HttpResponse) {
+            if (response.containsStatusLine) {
+                reportStrayBytes(StrayBytesArrival.WITHIN_HEAD, response)
+                fail("the head of the response contains a second status line")
+                return
+            }
             val isInterim = response.status().code() < 200
             isDiscarding = isInterim || !current.isExpected(response)
             if (isDiscarding) {
@@ -146,7 +161,7 @@
                 if (content.content().isReadable) current.onBytes(ByteBufUtil.getBytes(content.content()))
                 if (content is LastHttpContent) {
                     answer = null
-                    if (decoder.hasUndecodedBytes) reportStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
+                    if (decoder.hasUndecodedBytes) closeForStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
                     current.onEnd()
                 }
             } else if (content is LastHttpContent) {
@@ -169,6 +184,13 @@
     }
 
     private companion object {
+        val STATUS_LINE = Regex("""HTTP/\d\.\d \d{3}""")
+
+        /** Whether the head was cut off and continues with the head of another response. */
+        val HttpResponse.containsStatusLine: Boolean
+            get() = STATUS_LINE.containsMatchIn(status().reasonPhrase()) ||
+                headers().any { STATUS_LINE.containsMatchIn(it.value) }
+
         /** Used when a server sends no keep-alive timeout; common server defaults start at 5 s. */
         const val DEFAULT_KEEP_ALIVE_SECONDS = 4L
 
--- a/http/src/main/kotlin/ragwortbarrow/http/StrayBytes.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/StrayBytes.kt
@@ -12,6 +12,9 @@
 
     /** A response to another request arrived before the expected one, and was discarded. */
     BEFORE_RESPONSE,
+
+    /** A part of a response was followed by the expected one, so that both were read as one head. */
+    WITHIN_HEAD,
 }
 
 /** Bytes of a server that belong to no request, such as a second copy of a response or a part of one. */
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -70,10 +70,11 @@
     data class Crossed(val body: String) : RunnerBehaviour
 
     /**
-     * A complete response that is sent again on the same connection when the next request has arrived there, before the
-     * response to that one.
+     * A complete response whose first [copiedBytes] are sent again on the same connection when the next request has
+     * arrived there, before the response to that one.
      */
-    data class LateCopy(val body: String, val status: Int = 200) : RunnerBehaviour
+    data class LateCopy(val body: String, val status: Int = 200, val copiedBytes: Int = Int.MAX_VALUE) :
+        RunnerBehaviour
 
     /** A stream of [events] events that then sends only comment bytes, one every [gapMillis], and never ends. */
     data class Stuck(val events: Int, val gapMillis: Long = 50) : RunnerBehaviour
@@ -124,6 +125,10 @@
     @Volatile
     var isLeaving = false
 
+    /** Whether a response to a request for another runner is sent again before the response to the next request. */
+    @Volatile
+    var repeatsMisdirected = false
+
     /** Bytes of events sent by [RunnerBehaviour.Endless]. */
     val endlessBytes = AtomicLong()
 
@@ -189,7 +194,9 @@
             val behaviour = if (isMisdirected(request)) null else nextBehaviour(request)
             if (!respond(request, behaviour, connection, output)) return
             lateCopy = when (behaviour) {
-                is RunnerBehaviour.LateCopy -> completeResponse(request, behaviour.status, behaviour.body)
+                null -> misdirected(request).takeIf { repeatsMisdirected }
+                is RunnerBehaviour.LateCopy ->
+                    completeResponse(request, behaviour.status, behaviour.body).take(behaviour.copiedBytes)
                 is RunnerBehaviour.RepeatedRefusal -> refusal(if (behaviour.repeatsId) echo(request) else "")
                 else -> null
             }
@@ -229,9 +236,7 @@
         output: OutputStream,
     ): Boolean {
         if (behaviour == null) {
-            output.send(
-                "HTTP/1.1 421 Misdirected Request\r\n${echo(request)}X-Instance-Id: $id\r\nContent-Length: 0\r\n\r\n",
-            )
+            output.send(misdirected(request))
             return true
         }
         if (behaviour != RunnerBehaviour.Full && behaviour !is RunnerBehaviour.RepeatedRefusal) ran += request
@@ -336,6 +341,9 @@
             "Content-Length: ${body.length}\r\n\r\n$body"
     }
 
+    private fun misdirected(request: RunnerRequest) =
+        "HTTP/1.1 421 Misdirected Request\r\n${echo(request)}X-Instance-Id: $id\r\nContent-Length: 0\r\n\r\n"
+
     private fun refusal(idHeader: String) =
         "HTTP/1.1 503 Service Unavailable\r\n${idHeader}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
