Send a request to the new server at an address on another connection than to the old one

Cause: connections are pooled by address, and two entries of the store may name one. After a 421 the request went to the other entry under the same id on the same connection; a second copy of the 421 then counted as the response to it. What callers saw: 503, not run, for a request that the server ran (REFUSED). Batch items were guarded against it, requests of callers were not. Change: the connection is not used again after a 421. Evidence: RepeatedRefusalTest, a 421 that is sent once more refuses no request that the new runner at the address runs: failed before (200 and 503 among 20 requests), passes now; OnlinePathTest, BatchPathTest, LateCopyTest and FaultyResponseTest pass (arm64).

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCall.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCall.kt
@@ -25,12 +25,18 @@
         tracker.recordResponseStart(server.id)
     }
 
+    /**
+     * Whether the request may be sent to the address again under the same id: a batch item after a failure, and any
+     * request after a 421 to the new server at the address. A late second copy of the response would look like the
+     * response to that one, so the connection is not used again.
+     */
+    private val mayGetSameRequest: Boolean
+        get() = with(response.head) { isMisdirected || isBatch && status !in 200..299 }
+
     /** Passes the response to [block] and closes the call. */
     suspend fun <T> read(block: suspend (StreamingResponse) -> T): T {
         try {
-            // A batch item is sent again under the same id. A late second copy of its failure would look like the
-            // response to the next run, so a connection with a failure is not used again.
-            return block(response).also { close(mayReuse = !isBatch || response.head.status in 200..299) }
+            return block(response).also { close(mayReuse = !mayGetSameRequest) }
         } catch (failure: HttpFailure) {
             abandon()
             response.recordFailure(failure)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.jobs.BatchItem
 import ragwortbarrow.core.jobs.ItemResult
@@ -51,6 +52,9 @@
 ) {
     /** Whether the response is a server's own stream of events. */
     val isStream: Boolean get() = isEventStream && hasServerStamp && status in 200..299
+
+    /** Whether another server than the expected one has answered. */
+    val isMisdirected: Boolean get() = status == HttpResponseStatus.MISDIRECTED_REQUEST.code()
 }
 
 /** Headers that the entry node adds to a request to a backend server. */
