Fail the largest body at once when all bodies exceed their limit

Cause: the limit of memory was checked by the body that grew, and only that one could fail. While the largest body waited for its server, smaller ones grew past the limit together and none of them failed. Class: a limit on a sum that only one of its parts enforces.

A stalled large body kept its memory, and the entry process could still run out of it (LOST), which the limit is to prevent.

Change: when the total passes the limit, the largest body fails, whichever grew. Its reader is woken with HttpFailure.Broken, its bytes no longer count, those that its reader has not taken are dropped, and its connection is closed, so that the server stops. The body that grew goes on if it is smaller. The first failure of a response counts, so that the end of a connection that the node closed itself isn't taken for a disconnect of the server, which would count against the prompt. In HttpClientConnection one argument is new.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpAnswer.kt
@@ -14,6 +14,7 @@
     private val onProgress: () -> Unit,
     internal val isExpected: (HttpResponse) -> Boolean,
     private val memory: BodyMemory,
+    private val closeConnection: () -> Unit,
     private val setReading: (Boolean) -> Unit,
 ) {
     private val head = CompletableDeferred<HttpResponse>()
@@ -55,10 +56,10 @@
 
     /**
      * Reads the rest of the body. Throws [HttpFailure.Broken] if it is truncated, if it exceeds [limitBytes], or if it
-     * is the largest one while all bodies together take too much memory.
+     * is the largest one when all bodies together take too much memory, also while it waits for the server.
      */
     suspend fun rest(limitBytes: Int): ByteArray {
-        val reservation = memory.open()
+        val reservation = memory.open(onFailure = ::discard)
         try {
             return rest(limitBytes, reservation)
         } finally {
@@ -92,6 +93,8 @@
     }
 
     internal fun onBytes(bytes: ByteArray) {
+        // Bytes that were received before the connection was closed are still decoded.
+        if (failure != null) return
         onProgress()
         adjustWaiting(bytes.size)
         chunks += bytes
@@ -103,7 +106,16 @@
         change.raise()
     }
 
+    /** Fails the response and closes its connection, so that its server stops. */
+    private fun discard(failure: HttpFailure.Broken) {
+        chunks.clear()
+        onBroken(failure)
+        closeConnection()
+    }
+
+    /** The first failure counts: a connection that is closed because of it is reported as broken too. */
     internal fun onBroken(failure: HttpFailure.Broken) {
+        if (this.failure != null) return
         head.completeExceptionally(failure)
         this.failure = failure
         change.raise()
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -56,7 +56,7 @@
         onProgress: () -> Unit = {},
         isExpected: (HttpResponse) -> Boolean = { true },
     ): HttpAnswer {
-        val pending = HttpAnswer(onProgress, isExpected, memory) { channel.config().isAutoRead = it }
+        val pending = HttpAnswer(onProgress, isExpected, memory, ::close) { channel.config().isAutoRead = it }
         answer = pending
         bytesBeforeHead = 0
         isRequestWritten = false
--- a/http/src/test/kotlin/ragwortbarrow/http/FaultyResponseTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/FaultyResponseTest.kt
@@ -27,16 +27,22 @@
 import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
-/** Servers that send bytes without end, before the head of a response or in its body. */
+/** Servers that send bytes without end, before the head of a response or in its body, or that stall within it. */
 class FaultyResponseTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
     private val sockets = ArrayList<ServerSocket>()
     private val sentBytes = AtomicLong()
 
+    /** Opens when a client closes its connection to a server that stalls. */
+    private val stalledIsClosed = CountDownLatch(1)
+
     @AfterEach
     fun close() {
         sockets.forEach { it.close() }
@@ -44,7 +50,11 @@
     }
 
     /** Starts a server that answers the first request on each connection with [first] and then repeats [endless]. */
-    private fun serve(first: String, endless: String): String {
+    private fun serve(first: String, endless: String): String =
+        serve { sendUntilClosed(it.getOutputStream(), first, endless) }
+
+    /** Starts a server that answers the first request on each connection with [respond]. */
+    private fun serve(respond: (Socket) -> Unit): String {
         val socket = ServerSocket(0, 8, InetAddress.getLoopbackAddress()).also { sockets += it }
         thread(isDaemon = true) {
             while (true) {
@@ -56,7 +66,7 @@
                 thread(isDaemon = true) {
                     connection.use {
                         it.getInputStream().read(ByteArray(4_096))
-                        sendUntilClosed(it.getOutputStream(), first, endless)
+                        respond(it)
                     }
                 }
             }
@@ -77,6 +87,27 @@
         }
     }
 
+    /** Starts a server that sends [bodyBytes] bytes of a longer body and no more. */
+    private fun serveStalled(bodyBytes: Int): String = serve {
+        it.getOutputStream().write(responseStart(2 * bodyBytes, bodyBytes))
+        // The client has no more to send, so this returns when it closes the connection.
+        try {
+            it.getInputStream().read()
+        } catch (reset: IOException) {
+            // Closed with bytes that were not read.
+        }
+        stalledIsClosed.countDown()
+    }
+
+    /** Starts a server that sends the last byte of a body after the connection to the stalled server was closed. */
+    private fun serveAfterStalled(bodyBytes: Int): String = serve {
+        it.getOutputStream().write(responseStart(bodyBytes, bodyBytes - 1))
+        if (stalledIsClosed.await(LIMIT_MILLIS, TimeUnit.MILLISECONDS)) it.getOutputStream().write('x'.code)
+    }
+
+    private fun responseStart(bodyBytes: Int, sentBytes: Int): ByteArray =
+        "HTTP/1.1 200 OK\r\nContent-Length: $bodyBytes\r\n\r\n".plus("x".repeat(sentBytes)).encodeToByteArray()
+
     private fun <T> call(
         address: String,
         isExpected: (HttpResponse) -> Boolean = { true },
@@ -138,13 +169,19 @@
         expectThat(sentBytes.get()).isLessThan(8 * SOCKET_BUFFERS_BYTES)
     }
 
-    /** Reads one body from each of [addresses] at the same time; returns their sizes, null for those that fail. */
-    private fun readBodies(addresses: List<String>, maxBodyBytes: Long): List<Int?> = runBlocking {
+    /**
+     * Reads one body from each of [addresses] at the same time, or with [pauseMillis] between the first one and the
+     * others; returns their sizes, null for those that fail.
+     */
+    private fun readBodies(addresses: List<String>, maxBodyBytes: Long, pauseMillis: Long = 0) = runBlocking {
         withContext(loop.asCoroutineDispatcher()) {
             val pool = HttpClientPool(loop, maxBodyBytes = maxBodyBytes)
             val request = HttpRequestMessage("GET", "/", DefaultHttpHeaders(), ByteArray(0))
             val connections = addresses.map { pool.acquire(it) }
-            val reads = connections.map { async { sizeOrNull(it.send(request)) } }
+            val reads = connections.mapIndexed { index, connection ->
+                if (index == 1) delay(pauseMillis)
+                async { sizeOrNull(connection.send(request)) }
+            }
             withTimeout(LIMIT_MILLIS) { reads.awaitAll() }.also { connections.forEach { it.close() } }
         }
     }
@@ -152,6 +189,8 @@
     private suspend fun sizeOrNull(answer: HttpAnswer): Int? = try {
         answer.rest(limitBytes = 100_000_000).size
     } catch (broken: HttpFailure.Broken) {
+        // A server that closes its connection may have crashed on the request; these do not.
+        expectThat(broken).not().isA<HttpFailure.Disconnected>()
         null
     }
 
@@ -163,6 +202,15 @@
         expectThat(sizes).containsExactly(null, null, 100_000)
     }
 
+    /** Guards against bodies that together take more memory than the limit while the largest one waits for its server. */
+    @Test
+    fun `a large body that stalls fails when smaller ones grow past the limit together`() {
+        // The smaller ones alone stay below the limit, so that it is passed only when the stalled body is the largest.
+        val addresses = listOf(serveStalled(600_000)) + List(3) { serveAfterStalled(200_000) }
+        val sizes = readBodies(addresses, maxBodyBytes = 800_000, pauseMillis = 200)
+        expectThat(sizes).containsExactly(null, 200_000, 200_000, 200_000)
+    }
+
     /** A caller on a slow link takes the events of a stream more slowly than its server sends them. */
     @Test
     fun `a body that is not read stops the server instead of filling the memory`() {
