Take no second response for the body of one without a length

Cause: a response with neither a length nor chunks ends with its connection, so that whatever the server sends until then was its body, also another response. Class: bytes that belong to another response. What callers saw: a success whose body held two responses (MIXED); on streams, the head of the second response among the events, and events of the second one that continued those of the first (ORDER). Change: such a body fails as soon as it contains a status line and, behind it, a header that its own head has too, in one packet or in several. A body that only quotes a status line is passed on. The request then goes to another server, or fails with 502, as for any broken response.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -38,6 +38,7 @@
     private var closeAfterResponse = false
     private var isRequestWritten = false
     private var bytesBeforeHead = 0
+    private var secondHeadSearch: SecondHeadSearch? = null
 
     /** Monotonic time at which the connection became idle. */
     internal var idleSinceNanos = 0L
@@ -151,15 +152,16 @@
             }
             keepAliveSeconds = response.headers().get("Keep-Alive")?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull() ?: keepAliveSeconds
-            closeAfterResponse = !HttpUtil.isKeepAlive(response) ||
-                !(HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
+            val isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+            closeAfterResponse = !HttpUtil.isKeepAlive(response) || !isFramed
+            secondHeadSearch = if (isFramed) null else SecondHeadSearch(response.headers())
             current.onHead(response)
         }
 
         private fun onContent(current: HttpAnswer, content: HttpContent) {
             if (!isDiscarding) {
-                if (content.content().isReadable) current.onBytes(ByteBufUtil.getBytes(content.content()))
-                if (content is LastHttpContent) {
+                if (content.content().isReadable) onBytes(current, ByteBufUtil.getBytes(content.content()))
+                if (content is LastHttpContent && answer != null) {
                     answer = null
                     if (decoder.hasUndecodedBytes) closeForStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
                     current.onEnd()
@@ -169,6 +171,15 @@
             }
         }
 
+        private fun onBytes(current: HttpAnswer, bytes: ByteArray) {
+            if (secondHeadSearch?.isFoundWith(bytes) == true) {
+                reportStrayBytes(StrayBytesArrival.WITHIN_BODY)
+                fail("the body of the response contains the head of another response")
+            } else {
+                current.onBytes(bytes)
+            }
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) =
             fail(HttpFailure.Disconnected("the connection was closed"))
 
--- a/http/src/main/kotlin/ragwortbarrow/http/StrayBytes.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/StrayBytes.kt
@@ -15,6 +15,9 @@
 
     /** A part of a response was followed by the expected one, so that both were read as one head. */
     WITHIN_HEAD,
+
+    /** A response without a length was followed by another one, so that both were read as one body. */
+    WITHIN_BODY,
 }
 
 /** Bytes of a server that belong to no request, such as a second copy of a response or a part of one. */
