Complete no body that was cut off with the bytes of another response

Cause: when a server cut a body off and kept the connection, the decoder filled the missing bytes with the next ones that came, those of a second response. Class: bytes that belong to another response. What callers saw: a success whose body ended with the head of another response (MIXED). Change: the body of a response with a length fails if it holds a status line and, behind it, a header that its own head has too, and further bytes follow its end. A body that quotes a head and that nothing follows is whole. Chunked bodies need no check: a head is no valid size of a chunk. Evidence: KeptConnectionTest, a body that was cut off is not completed by another response: failed on (a success with the head of the other response in its body), passes now.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -38,6 +38,7 @@
     private var closeAfterResponse = false
     private var isRequestWritten = false
     private var bytesBeforeHead = 0
+    private var endsWithConnection = false
     private var secondHeadSearch: SecondHeadSearch? = null
 
     /** Monotonic time at which the connection became idle. */
@@ -152,32 +153,44 @@
             }
             keepAliveSeconds = response.headers().get("Keep-Alive")?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull() ?: keepAliveSeconds
-            val isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-            closeAfterResponse = !HttpUtil.isKeepAlive(response) || !isFramed
-            secondHeadSearch = if (isFramed) null else SecondHeadSearch(response.headers())
+            val isChunked = HttpUtil.isTransferEncodingChunked(response)
+            endsWithConnection = !HttpUtil.isContentLengthSet(response) && !isChunked
+            closeAfterResponse = !HttpUtil.isKeepAlive(response) || endsWithConnection
+            // A head is no valid chunk.
+            secondHeadSearch = if (isChunked) null else SecondHeadSearch(response.headers())
             current.onHead(response)
         }
 
         private fun onContent(current: HttpAnswer, content: HttpContent) {
             if (!isDiscarding) {
                 if (content.content().isReadable) onBytes(current, ByteBufUtil.getBytes(content.content()))
-                if (content is LastHttpContent && answer != null) {
-                    answer = null
-                    if (decoder.hasUndecodedBytes) closeForStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
-                    current.onEnd()
-                }
+                if (content is LastHttpContent && answer != null) onEnd(current)
             } else if (content is LastHttpContent) {
                 isDiscarding = false
             }
         }
 
         private fun onBytes(current: HttpAnswer, bytes: ByteArray) {
-            if (secondHeadSearch?.isFoundWith(bytes) == true) {
-                reportStrayBytes(StrayBytesArrival.WITHIN_BODY)
-                fail("the body of the response contains the head of another response")
-            } else {
-                current.onBytes(bytes)
+            secondHeadSearch?.add(bytes)
+            if (endsWithConnection && hasSecondHead) failForSecondHead() else current.onBytes(bytes)
+        }
+
+        /** A body may quote a head. One that was cut off took its end from another response, whose rest follows. */
+        private fun onEnd(current: HttpAnswer) {
+            if (hasSecondHead && decoder.hasUndecodedBytes) {
+                failForSecondHead()
+                return
             }
+            answer = null
+            if (decoder.hasUndecodedBytes) closeForStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
+            current.onEnd()
+        }
+
+        private val hasSecondHead: Boolean get() = secondHeadSearch?.isFound == true
+
+        private fun failForSecondHead() {
+            reportStrayBytes(StrayBytesArrival.WITHIN_BODY)
+            fail("the body of the response contains the head of another response")
         }
 
         override fun channelInactive(context: ChannelHandlerContext) =
--- a/http/src/main/kotlin/ragwortbarrow/http/SecondHeadSearch.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/SecondHeadSearch.kt
@@ -3,18 +3,22 @@
 import io.netty.handler.codec.http.HttpHeaders
 
 /**
- * Looks for the head of another response in a body that nothing but the end of its connection limits. A status line
- * counts only if a header follows it that is also in [headers], those of the body's own response, since a body may
- * quote a status line.
+ * Looks for the head of another response in a body. A status line counts only if a header follows it that is also in
+ * [headers], those of the body's own response, since a body may quote a status line.
  */
 internal class SecondHeadSearch(private val headers: HttpHeaders) {
     private var tail = ""
 
-    /** Adds the next [bytes] of the body; returns whether a head has begun in it. */
-    fun isFoundWith(bytes: ByteArray): Boolean {
+    /** Whether a head begins in the bytes that were added. */
+    var isFound = false
+        private set
+
+    /** Adds the next [bytes] of the body. */
+    fun add(bytes: ByteArray) {
+        if (isFound) return
         val text = tail + bytes.toString(Charsets.ISO_8859_1)
         tail = text.takeLast(MAX_START_CHARS)
-        return HEAD_START.findAll(text).any { headers.contains(it.groupValues[1]) }
+        isFound = HEAD_START.findAll(text).any { headers.contains(it.groupValues[1]) }
     }
 
     private companion object {
--- a/http/src/main/kotlin/ragwortbarrow/http/StrayBytes.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/StrayBytes.kt
@@ -16,7 +16,7 @@
     /** A part of a response was followed by the expected one, so that both were read as one head. */
     WITHIN_HEAD,
 
-    /** A response without a length was followed by another one, so that both were read as one body. */
+    /** Another response followed one without a length, or one that was cut off, and was read as a part of its body. */
     WITHIN_BODY,
 }
 
