Reuse no connection that has stopped reading

Cause: a connection stops reading while many bytes wait for their reader. A reader that leaves a complete response, as at an event that does not follow the one before, left the connection in the pool in that state. Class: state of a connection that outlives its response. What callers saw: a request that got no answer until its time limit, since the node did not read the server's response. Change: such a connection is closed instead of pooled. Evidence: KeptConnectionTest, a request after a response that was not read to its end is answered: on no response within 5 s, passes now.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -79,9 +79,12 @@
         channel.close()
     }
 
-    /** Whether the last response is complete and neither side asked to close the connection. */
+    /**
+     * Whether the last response is complete, neither side asked to close the connection, and it reads what arrives: it
+     * stops while many bytes of a response wait for their reader, who may have left them.
+     */
     internal val isReusable: Boolean
-        get() = isOpen && answer == null && !closeAfterResponse && isRequestWritten
+        get() = isOpen && answer == null && !closeAfterResponse && isRequestWritten && channel.config().isAutoRead
 
     private fun fail(reason: String) = fail(HttpFailure.Broken(reason))
 
--- a/http/src/test/kotlin/ragwortbarrow/http/KeptConnectionTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/KeptConnectionTest.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
@@ -65,6 +66,20 @@
 
     private suspend fun HttpAnswer.text() = rest(limitBytes = 1_000).decodeToString()
 
+    /** The reader of a stream leaves it at an event that does not follow the one before. */
+    @Test
+    fun `a request after a response that was not read to its end is answered`() {
+        serve(response("x".repeat(UNREAD_BYTES)), response("page"))
+        val body = withPool { pool ->
+            val first = pool.acquire()
+            first.get()
+            delay(ARRIVAL_MILLIS)
+            pool.release(first)
+            pool.acquire().get().text()
+        }
+        expectThat(body).isEqualTo("page")
+    }
+
     /** A caller got a success whose body ended with the head of another response. */
     @Test
     fun `a body that was cut off is not completed by another response`() {
@@ -82,6 +97,12 @@
 
     private companion object {
         const val LIMIT_MILLIS = 5_000L
+
+        /** Time in which a response arrives. */
+        const val ARRIVAL_MILLIS = 500L
+
+        /** So much that the connection stops reading when the last byte of the body has arrived. */
+        const val UNREAD_BYTES = 256 * 1024
         const val CUT_BODY_BYTES = 200
 
         fun response(body: String) =
