Fail a request at once if its connection is already closed

Cause: a connection that was closed between its establishment and the request reported its end before the request was pending, and the failed write was not reported. Class: state of a connection that outlives the request before. What callers saw: a request that waited for its time limit, though none of its bytes had been sent. Change: a failed write fails the request. Evidence: KeptConnectionTest, a request on a connection that has just been closed fails at once: on it hung for 5 s, passes now.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -70,7 +70,9 @@
         if (request.body.isNotEmpty() || method == HttpMethod.POST || method == HttpMethod.PUT) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
-        channel.writeAndFlush(message).addListener { if (it.isSuccess) isRequestWritten = true }
+        channel.writeAndFlush(message).addListener {
+            if (it.isSuccess) isRequestWritten = true else fail(HttpFailure.Disconnected("the request was not written"))
+        }
         return pending
     }
 
--- a/http/src/test/kotlin/ragwortbarrow/http/KeptConnectionTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/KeptConnectionTest.kt
@@ -80,6 +80,19 @@
         expectThat(body).isEqualTo("page")
     }
 
+    @Test
+    fun `a request on a connection that has just been closed fails at once`() {
+        serve()
+        expectCatching {
+            withPool { pool ->
+                val connection = pool.acquire()
+                connection.close()
+                delay(CLOSE_MILLIS)
+                connection.get().head()
+            }
+        }.isFailure().isA<HttpFailure.Disconnected>()
+    }
+
     /** A caller got a success whose body ended with the head of another response. */
     @Test
     fun `a body that was cut off is not completed by another response`() {
@@ -98,8 +111,9 @@
     private companion object {
         const val LIMIT_MILLIS = 5_000L
 
-        /** Time in which a response arrives. */
+        /** Time in which a response arrives, or a connection is closed. */
         const val ARRIVAL_MILLIS = 500L
+        const val CLOSE_MILLIS = 50L
 
         /** So much that the connection stops reading when the last byte of the body has arrived. */
         const val UNREAD_BYTES = 256 * 1024
