--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -38,6 +38,8 @@
     private var closeAfterResponse = false
     private var isRequestWritten = false
     private var bytesBeforeHead = 0
+    private var endsWithConnection = false
+    private var secondHeadSearch: SecondHeadSearch? = null
 
     /** Monotonic time at which the connection became idle. */
     internal var idleSinceNanos = 0L
@@ -68,7 +70,9 @@
         if (request.body.isNotEmpty() || method == HttpMethod.POST || method == HttpMethod.PUT) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
-        channel.writeAndFlush(message).addListener { if (it.isSuccess) isRequestWritten = true }
+        channel.writeAndFlush(message).addListener {
+            if (it.isSuccess) isRequestWritten = true else fail(HttpFailure.Disconnected("the request was not written"))
+        }
         return pending
     }
 
@@ -77,9 +81,12 @@
         channel.close()
     }
 
-    /** Whether the last response is complete and neither side asked to close the connection. */
+    /**
+     * Whether the last response is complete, neither side asked to close the connection, and it reads what arrives: it
+     * stops while many bytes of a response wait for their reader, who may have left them.
+     */
     internal val isReusable: Boolean
-        get() = isOpen && answer == null && !closeAfterResponse && isRequestWritten
+        get() = isOpen && answer == null && !closeAfterResponse && isRequestWritten && channel.config().isAutoRead
 
     private fun fail(reason: String) = fail(HttpFailure.Broken(reason))
 
@@ -151,24 +158,46 @@
             }
             keepAliveSeconds = response.headers().get("Keep-Alive")?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull() ?: keepAliveSeconds
-            closeAfterResponse = !HttpUtil.isKeepAlive(response) ||
-                !(HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
+            val isChunked = HttpUtil.isTransferEncodingChunked(response)
+            endsWithConnection = !HttpUtil.isContentLengthSet(response) && !isChunked
+            closeAfterResponse = !HttpUtil.isKeepAlive(response) || endsWithConnection
+            // A head is no valid chunk.
+            secondHeadSearch = if (isChunked) null else SecondHeadSearch(response.headers())
             current.onHead(response)
         }
 
         private fun onContent(current: HttpAnswer, content: HttpContent) {
             if (!isDiscarding) {
-                if (content.content().isReadable) current.onBytes(ByteBufUtil.getBytes(content.content()))
-                if (content is LastHttpContent) {
-                    answer = null
-                    if (decoder.hasUndecodedBytes) closeForStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
-                    current.onEnd()
-                }
+                if (content.content().isReadable) onBytes(current, ByteBufUtil.getBytes(content.content()))
+                if (content is LastHttpContent && answer != null) onEnd(current)
             } else if (content is LastHttpContent) {
                 isDiscarding = false
             }
         }
 
+        private fun onBytes(current: HttpAnswer, bytes: ByteArray) {
+            secondHeadSearch?.add(bytes)
+            if (endsWithConnection && hasSecondHead) failForSecondHead() else current.onBytes(bytes)
+        }
+
+        /** A body may quote a head. One that was cut off took its end from another response, whose rest follows. */
+        private fun onEnd(current: HttpAnswer) {
+            if (hasSecondHead && decoder.hasUndecodedBytes) {
+                failForSecondHead()
+                return
+            }
+            answer = null
+            if (decoder.hasUndecodedBytes) closeForStrayBytes(StrayBytesArrival.AFTER_RESPONSE)
+            current.onEnd()
+        }
+
+        private val hasSecondHead: Boolean get() = secondHeadSearch?.isFound == true
+
+        private fun failForSecondHead() {
+            reportStrayBytes(StrayBytesArrival.WITHIN_BODY)
+            fail("the body of the response contains the head of another response")
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) =
             fail(HttpFailure.Disconnected("the connection was closed"))
 
