Close no connection whose caller is still reading its answer

Cause: an answer counted as complete when it had been passed to the channel. The idle timer, and the closing of idle connections in a stop, then closed the channel with the part that a slow caller had not taken yet, and the channel discarded it. A shorter idle_timeout_ms makes it likelier. Nothing was written to the log. Callers saw a success that broke off: 3.6 MB of 16 MB in the test. Change: a connection with unsent bytes is not idle. The idle timer closes it only if nothing of them was sent in a whole idle timeout, and an answer that was not sent to its end is reported as `unanswered`.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -52,8 +52,12 @@
     private var lastUseNanos = System.nanoTime()
     private val writable = ChangeSignal()
 
-    /** Whether no request is being read, handled or queued. */
-    val isIdle: Boolean get() = requestHead == null && handlerJob == null && queuedRequests.isEmpty()
+    /** The unsent bytes of responses when the idle timer last ran. */
+    private var unsentBefore: UnsentBytes? = null
+
+    /** Whether no request is being read, handled or queued, and no response is on its way to the caller. */
+    val isIdle: Boolean
+        get() = requestHead == null && handlerJob == null && queuedRequests.isEmpty() && unsentBytes() == null
 
     /** Time since the connection was accepted or since its last response was sent. */
     val idleMillis: Long get() = (System.nanoTime() - lastUseNanos) / NANOS_PER_MILLI
@@ -161,14 +165,25 @@
         }
     }
 
-    /** Closes the connection after the idle timeout, which may change while the connection is idle. */
+    /**
+     * Closes the connection after the idle timeout, which may change while the connection is idle. A caller that still
+     * reads its response uses the connection.
+     */
     private fun scheduleIdleClose(delayMillis: Long = limits().idleTimeoutMillis) {
         schedule(delayMillis) {
+            val unsent = unsentBytes()
+            if (unsent != null && unsent != unsentBefore) lastUseNanos = System.nanoTime()
+            unsentBefore = unsent
             val remainingMillis = limits().idleTimeoutMillis - idleMillis
             if (remainingMillis > 0) scheduleIdleClose(remainingMillis) else close(ConnectionCloseReason.IDLE)
         }
     }
 
+    /** What the channel holds of responses, because the caller reads slowly; closing the channel would discard it. */
+    private fun unsentBytes(): UnsentBytes? = channel.unsafe().outboundBuffer()
+        ?.takeIf { !it.isEmpty }
+        ?.let { UnsentBytes(it.totalPendingWriteBytes(), it.currentProgress()) }
+
     private fun schedule(delayMillis: Long, action: () -> Unit) {
         timeout?.cancel(false)
         timeout = channel.eventLoop()
@@ -183,6 +198,9 @@
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
+    /** The size of all unsent buffers, and how much of the first one has been sent. */
+    private data class UnsentBytes(val pendingBytes: Long, val sentBytes: Long)
+
     private class QueuedRequest(val message: HttpRequestMessage, val keepAlive: Boolean)
 
     private inner class Reply(val request: HttpRequestMessage, private val keepAlive: Boolean) : HttpReply {
@@ -192,7 +210,7 @@
             private set
         private var closesAfterResponse = false
 
-        /** Whether the last byte of the response has been written. */
+        /** Whether the last byte of the response has been sent to the caller. */
         var isComplete = false
             private set
 
@@ -200,14 +218,13 @@
             if (isStarted) return
             isStarted = true
             isFinished = true
-            isComplete = true
             val response = DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
                 Unpooled.wrappedBuffer(body),
             )
             response.headers().set(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-            closeIfRequested(channel.writeAndFlush(setConnectionHeader(response)))
+            onSent(channel.writeAndFlush(setConnectionHeader(response)))
         }
 
         override fun start(status: Int, headers: HttpHeaders) {
@@ -227,8 +244,7 @@
 
         override fun end() {
             isFinished = true
-            isComplete = true
-            closeIfRequested(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+            onSent(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
         }
 
         override fun abort() {
@@ -241,7 +257,8 @@
             if (closesAfterResponse) it.headers().set(HttpHeaderNames.CONNECTION, "close")
         }
 
-        private fun closeIfRequested(written: ChannelFuture) {
+        private fun onSent(written: ChannelFuture) {
+            written.addListener { isComplete = it.isSuccess }
             if (closesAfterResponse) written.addListener(ChannelFutureListener.CLOSE)
         }
     }
