Let a refusal reach the caller that is still sending its body

Cause: a request that is too long was refused and its connection closed as soon as the refusal was written. Closing a connection with unread bytes resets it, so the caller lost the refusal. Limits that shrink with a new version make such requests of proper ones. Callers saw a broken pipe or a reset, and neither an answer nor a refusal. Change: after the refusal the node closes its sending side only, and discards what still arrives until the caller closes or header_timeout_ms has passed.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -47,6 +48,7 @@
     private var handlerJob: Job? = null
     private var currentReply: Reply? = null
     private var closeReason: ConnectionCloseReason? = null
+    private var isRefused = false
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
     private var lastUseNanos = System.nanoTime()
@@ -102,6 +104,7 @@
     }
 
     private fun read(message: HttpObject) {
+        if (isRefused) return
         if (message.decoderResult().isFailure) {
             refuseAndClose(HttpResponseStatus.BAD_REQUEST)
             return
@@ -190,12 +193,20 @@
             .schedule({ if (handlerJob == null) action() }, delayMillis, TimeUnit.MILLISECONDS)
     }
 
+    /**
+     * Ends the responses with [status]. What the caller still sends is discarded until it closes the connection or its
+     * time for a request is over: closing the connection with unread bytes resets it, and the refusal may be lost.
+     */
     private fun refuseAndClose(status: HttpResponseStatus) {
         requestHead = null
+        body = ByteArrayOutputStream()
+        isRefused = true
         closeReason = ConnectionCloseReason.INVALID_REQUEST
+        lastUseNanos = System.nanoTime()
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close")
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        channel.writeAndFlush(response).addListener { (channel as DuplexChannel).shutdownOutput() }
+        schedule(limits().headerTimeoutMillis) { close(ConnectionCloseReason.INVALID_REQUEST) }
     }
 
     /** The size of all unsent buffers, and how much of the first one has been sent. */
