Answer the requests before a malformed one first

Cause: bytes that are no request were refused when they were read, also while a request before them was in progress. The refusal overtook its answer, and closing the connection cancelled it. Callers saw 400 for a proper request that a server may have run. Change: a connection reads nothing more after a malformed or too long request, and refuses it when the requests before it are answered. Evidence: the test failed before (400 alone) and passes (200, then 400).

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -48,7 +48,9 @@
     private var handlerJob: Job? = null
     private var currentReply: Reply? = null
     private var closeReason: ConnectionCloseReason? = null
-    private var isRefused = false
+
+    /** The status that ends the connection when the requests before it have been answered. */
+    private var refusal: HttpResponseStatus? = null
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
     private var lastUseNanos = System.nanoTime()
@@ -104,9 +106,9 @@
     }
 
     private fun read(message: HttpObject) {
-        if (isRefused) return
+        if (refusal != null) return
         if (message.decoderResult().isFailure) {
-            refuseAndClose(HttpResponseStatus.BAD_REQUEST)
+            refuse(HttpResponseStatus.BAD_REQUEST)
             return
         }
         if (message is HttpRequest) {
@@ -120,7 +122,7 @@
         val head = requestHead
         if (message is HttpContent && head != null) {
             if (body.size() + message.content().readableBytes() > limits().maxBodyBytes) {
-                refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+                refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
                 return
             }
             body.writeBytes(ByteBufUtil.getBytes(message.content()))
@@ -141,7 +143,11 @@
         if (handlerJob != null) return
         val next = queuedRequests.removeFirstOrNull()
         if (next == null) {
-            if (channel.isActive) scheduleIdleClose()
+            val status = refusal
+            when {
+                status != null -> refuseAndClose(status)
+                channel.isActive -> scheduleIdleClose()
+            }
             return
         }
         val request = next.message
@@ -193,14 +199,19 @@
             .schedule({ if (handlerJob == null) action() }, delayMillis, TimeUnit.MILLISECONDS)
     }
 
+    private fun refuse(status: HttpResponseStatus) {
+        refusal = status
+        requestHead = null
+        body = ByteArrayOutputStream()
+        timeout?.cancel(false)
+        runNext()
+    }
+
     /**
      * Ends the responses with [status]. What the caller still sends is discarded until it closes the connection or its
      * time for a request is over: closing the connection with unread bytes resets it, and the refusal may be lost.
      */
     private fun refuseAndClose(status: HttpResponseStatus) {
-        requestHead = null
-        body = ByteArrayOutputStream()
-        isRefused = true
         closeReason = ConnectionCloseReason.INVALID_REQUEST
         lastUseNanos = System.nanoTime()
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
--- a/http/src/test/kotlin/ragwortbarrow/http/RefusalDeliveryTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/RefusalDeliveryTest.kt
@@ -75,6 +75,12 @@
         }.isFailure().isA<IOException>()
     }
 
+    @Test
+    fun `bytes that are no request do not cost the request before them its answer`() = connected { socket ->
+        socket.send("GET / HTTP/1.1\r\nHost: h.example\r\n\r\nno request\r\n\r\n")
+        expectThat(socket.statuses()).containsExactly("200", "400")
+    }
+
     private companion object {
         const val BODY_BYTES = 8 * 1024 * 1024
         const val HANDLER_MILLIS = 20L
