Stop reading in place of closing when many requests wait on a connection

Cause: the seventeenth request that waited for those before it closed the connection, without an answer to any of them, the one in progress included. Callers that send many requests at once saw a closed connection: no answer to any of 40 in the test. Change: while 16 requests wait, the node reads no more of them. The reason TOO_MANY_REQUESTS of `unanswered` is gone. Evidence: the test failed before (0 of 40 answered) and passes.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -136,7 +136,13 @@
         val message = HttpRequestMessage(head.method().name(), head.uri(), head.headers(), body.toByteArray())
         queuedRequests += QueuedRequest(message, HttpUtil.isKeepAlive(head))
         body = ByteArrayOutputStream()
-        if (queuedRequests.size > MAX_PIPELINED) close(ConnectionCloseReason.TOO_MANY_REQUESTS) else runNext()
+        runNext()
+        limitReading()
+    }
+
+    /** Reads no further requests while [MAX_QUEUED] wait for those before them. */
+    private fun limitReading() {
+        channel.config().isAutoRead = queuedRequests.size < MAX_QUEUED
     }
 
     private fun runNext() {
@@ -170,7 +176,10 @@
             handlerJob = null
             if (reply.isComplete) currentReply = null
             lastUseNanos = System.nanoTime()
-            if (channel.isActive) runNext()
+            if (channel.isActive) {
+                runNext()
+                limitReading()
+            }
         }
     }
 
@@ -288,7 +297,7 @@
     private companion object {
         val logger = LogManager.getLogger(HttpServerConnection::class.java)
 
-        /** Maximum pipelined requests per connection; the connection is closed if a caller sends more. */
-        const val MAX_PIPELINED = 16
+        /** Requests of a connection that may wait for the response to one before them. */
+        const val MAX_QUEUED = 16
     }
 }
--- a/http/src/main/kotlin/ragwortbarrow/http/UnansweredRequest.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/UnansweredRequest.kt
@@ -9,7 +9,6 @@
     /** The request did not arrive whole in time. */
     REQUEST_TIMEOUT,
     INVALID_REQUEST,
-    TOO_MANY_REQUESTS,
 
     /** The handler could not complete the response. */
     ANSWER_ABANDONED,
--- a/http/src/test/kotlin/ragwortbarrow/http/RefusalDeliveryTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/RefusalDeliveryTest.kt
@@ -13,6 +13,7 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFailure
 import java.io.IOException
 import java.net.InetAddress
@@ -81,8 +82,17 @@
         expectThat(socket.statuses()).containsExactly("200", "400")
     }
 
+    @Test
+    fun `all of many requests that are sent at once are answered`() = connected { socket ->
+        val request = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
+        socket.send(request.repeat(REQUESTS - 1))
+        socket.send("GET / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
+        expectThat(socket.statuses().count { it == "200" }).isEqualTo(REQUESTS)
+    }
+
     private companion object {
         const val BODY_BYTES = 8 * 1024 * 1024
         const val HANDLER_MILLIS = 20L
+        const val REQUESTS = 40
     }
 }
