Handle no request after the last one of a connection

Cause: a request that had arrived behind one with `Connection: close`, or behind the first one that a stopping node answers so, was handled if the answer before it had not been sent to its end yet. It was passed on to a server, and the connection was closed before its own answer. Callers saw a closed connection for a request that may have run. Change: nothing is handled after an answer that is the last one of its connection. Evidence: the test failed before (2 requests handled) and passes.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -147,9 +147,11 @@
 
     private fun runNext() {
         if (handlerJob != null) return
-        val next = queuedRequests.removeFirstOrNull()
+        // The connection is closed as soon as a response that is the last one has been sent.
+        val isLast = currentReply?.closesAfterResponse == true
+        val next = if (isLast) null else queuedRequests.removeFirstOrNull()
         if (next == null) {
-            val status = refusal
+            val status = refusal.takeIf { !isLast }
             when {
                 status != null -> refuseAndClose(status)
                 channel.isActive -> scheduleIdleClose()
@@ -239,7 +241,10 @@
             private set
         override var isFinished = false
             private set
-        private var closesAfterResponse = false
+
+        /** Whether the response is the last one of the connection. */
+        var closesAfterResponse = false
+            private set
 
         /** Whether the last byte of the response has been sent to the caller. */
         var isComplete = false
--- a/http/src/test/kotlin/ragwortbarrow/http/AnswerDeliveryTest.kt
+++ b/http/src/test/kotlin/ragwortbarrow/http/AnswerDeliveryTest.kt
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** What arrives at callers that read late, of answers and refusals that were sent in full. */
 class AnswerDeliveryTest {
@@ -25,9 +26,11 @@
     @Volatile
     private var limits = HttpServerLimits(idleTimeoutMillis = 60_000)
     private val answered = CountDownLatch(1)
+    private val handledCount = AtomicInteger()
     private val unanswered = LinkedBlockingQueue<UnansweredRequest>()
     private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
     private val server = HttpServer(loop, scope, { limits }, { unanswered += it }) { _, reply ->
+        handledCount.incrementAndGet()
         reply.whole(200, DefaultHttpHeaders(), ByteArray(LARGE_BODY_BYTES))
         answered.countDown()
     }.also { it.bind("127.0.0.1:0") }
@@ -93,6 +96,17 @@
         expectThat(unanswered.poll(5, TimeUnit.SECONDS)?.reason).isEqualTo(ConnectionCloseReason.IDLE)
     }
 
+    /** Its connection is closed, so nobody would get the answer. */
+    @Test
+    fun `a request after the last one of a connection is not handled`() = connected { socket ->
+        val last = "GET / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n"
+        socket.getOutputStream().write((last + last).encodeToByteArray())
+        answered.await()
+        Thread.sleep(300)
+        expectThat(handledCount.get()).isEqualTo(1)
+        expectThat(socket.readBody()).isEqualTo(LARGE_BODY_BYTES)
+    }
+
     private companion object {
         const val LARGE_BODY_BYTES = 16 * 1024 * 1024
     }
