--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -47,13 +48,20 @@
     private var handlerJob: Job? = null
     private var currentReply: Reply? = null
     private var closeReason: ConnectionCloseReason? = null
+
+    /** The status that ends the connection when the requests before it have been answered. */
+    private var refusal: HttpResponseStatus? = null
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
     private var lastUseNanos = System.nanoTime()
     private val writable = ChangeSignal()
 
-    /** Whether no request is being read, handled or queued. */
-    val isIdle: Boolean get() = requestHead == null && handlerJob == null && queuedRequests.isEmpty()
+    /** The unsent bytes of responses when the idle timer last ran. */
+    private var unsentBefore: UnsentBytes? = null
+
+    /** Whether no request is being read, handled or queued, and no response is on its way to the caller. */
+    val isIdle: Boolean
+        get() = requestHead == null && handlerJob == null && queuedRequests.isEmpty() && unsentBytes() == null
 
     /** Time since the connection was accepted or since its last response was sent. */
     val idleMillis: Long get() = (System.nanoTime() - lastUseNanos) / NANOS_PER_MILLI
@@ -98,8 +106,9 @@
     }
 
     private fun read(message: HttpObject) {
+        if (refusal != null) return
         if (message.decoderResult().isFailure) {
-            refuseAndClose(HttpResponseStatus.BAD_REQUEST)
+            refuse(HttpResponseStatus.BAD_REQUEST)
             return
         }
         if (message is HttpRequest) {
@@ -113,7 +122,7 @@
         val head = requestHead
         if (message is HttpContent && head != null) {
             if (body.size() + message.content().readableBytes() > limits().maxBodyBytes) {
-                refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+                refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
                 return
             }
             body.writeBytes(ByteBufUtil.getBytes(message.content()))
@@ -127,14 +136,26 @@
         val message = HttpRequestMessage(head.method().name(), head.uri(), head.headers(), body.toByteArray())
         queuedRequests += QueuedRequest(message, HttpUtil.isKeepAlive(head))
         body = ByteArrayOutputStream()
-        if (queuedRequests.size > MAX_PIPELINED) close(ConnectionCloseReason.TOO_MANY_REQUESTS) else runNext()
+        runNext()
+        limitReading()
+    }
+
+    /** Reads no further requests while [MAX_QUEUED] wait for those before them. */
+    private fun limitReading() {
+        channel.config().isAutoRead = queuedRequests.size < MAX_QUEUED
     }
 
     private fun runNext() {
         if (handlerJob != null) return
-        val next = queuedRequests.removeFirstOrNull()
+        // The connection is closed as soon as a response that is the last one has been sent.
+        val isLast = currentReply?.closesAfterResponse == true
+        val next = if (isLast) null else queuedRequests.removeFirstOrNull()
         if (next == null) {
-            if (channel.isActive) scheduleIdleClose()
+            val status = refusal.takeIf { !isLast }
+            when {
+                status != null -> refuseAndClose(status)
+                channel.isActive -> scheduleIdleClose()
+            }
             return
         }
         val request = next.message
@@ -157,32 +178,62 @@
             handlerJob = null
             if (reply.isComplete) currentReply = null
             lastUseNanos = System.nanoTime()
-            if (channel.isActive) runNext()
+            if (channel.isActive) {
+                runNext()
+                limitReading()
+            }
         }
     }
 
-    /** Closes the connection after the idle timeout, which may change while the connection is idle. */
+    /**
+     * Closes the connection after the idle timeout, which may change while the connection is idle. A caller that still
+     * reads its response uses the connection.
+     */
     private fun scheduleIdleClose(delayMillis: Long = limits().idleTimeoutMillis) {
         schedule(delayMillis) {
+            val unsent = unsentBytes()
+            if (unsent != null && unsent != unsentBefore) lastUseNanos = System.nanoTime()
+            unsentBefore = unsent
             val remainingMillis = limits().idleTimeoutMillis - idleMillis
             if (remainingMillis > 0) scheduleIdleClose(remainingMillis) else close(ConnectionCloseReason.IDLE)
         }
     }
 
+    /** What the channel holds of responses, because the caller reads slowly; closing the channel would discard it. */
+    private fun unsentBytes(): UnsentBytes? = channel.unsafe().outboundBuffer()
+        ?.takeIf { !it.isEmpty }
+        ?.let { UnsentBytes(it.totalPendingWriteBytes(), it.currentProgress()) }
+
     private fun schedule(delayMillis: Long, action: () -> Unit) {
         timeout?.cancel(false)
         timeout = channel.eventLoop()
             .schedule({ if (handlerJob == null) action() }, delayMillis, TimeUnit.MILLISECONDS)
     }
 
-    private fun refuseAndClose(status: HttpResponseStatus) {
+    private fun refuse(status: HttpResponseStatus) {
+        refusal = status
         requestHead = null
+        body = ByteArrayOutputStream()
+        timeout?.cancel(false)
+        runNext()
+    }
+
+    /**
+     * Ends the responses with [status]. What the caller still sends is discarded until it closes the connection or its
+     * time for a request is over: closing the connection with unread bytes resets it, and the refusal may be lost.
+     */
+    private fun refuseAndClose(status: HttpResponseStatus) {
         closeReason = ConnectionCloseReason.INVALID_REQUEST
+        lastUseNanos = System.nanoTime()
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close")
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        channel.writeAndFlush(response).addListener { (channel as DuplexChannel).shutdownOutput() }
+        schedule(limits().headerTimeoutMillis) { close(ConnectionCloseReason.INVALID_REQUEST) }
     }
 
+    /** The size of all unsent buffers, and how much of the first one has been sent. */
+    private data class UnsentBytes(val pendingBytes: Long, val sentBytes: Long)
+
     private class QueuedRequest(val message: HttpRequestMessage, val keepAlive: Boolean)
 
     private inner class Reply(val request: HttpRequestMessage, private val keepAlive: Boolean) : HttpReply {
@@ -190,9 +241,12 @@
             private set
         override var isFinished = false
             private set
-        private var closesAfterResponse = false
 
-        /** Whether the last byte of the response has been written. */
+        /** Whether the response is the last one of the connection. */
+        var closesAfterResponse = false
+            private set
+
+        /** Whether the last byte of the response has been sent to the caller. */
         var isComplete = false
             private set
 
@@ -200,14 +254,13 @@
             if (isStarted) return
             isStarted = true
             isFinished = true
-            isComplete = true
             val response = DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
                 Unpooled.wrappedBuffer(body),
             )
             response.headers().set(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-            closeIfRequested(channel.writeAndFlush(setConnectionHeader(response)))
+            onSent(channel.writeAndFlush(setConnectionHeader(response)))
         }
 
         override fun start(status: Int, headers: HttpHeaders) {
@@ -227,8 +280,7 @@
 
         override fun end() {
             isFinished = true
-            isComplete = true
-            closeIfRequested(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+            onSent(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
         }
 
         override fun abort() {
@@ -241,7 +293,8 @@
             if (closesAfterResponse) it.headers().set(HttpHeaderNames.CONNECTION, "close")
         }
 
-        private fun closeIfRequested(written: ChannelFuture) {
+        private fun onSent(written: ChannelFuture) {
+            written.addListener { isComplete = it.isSuccess }
             if (closesAfterResponse) written.addListener(ChannelFutureListener.CLOSE)
         }
     }
@@ -249,7 +302,7 @@
     private companion object {
         val logger = LogManager.getLogger(HttpServerConnection::class.java)
 
-        /** Maximum pipelined requests per connection; the connection is closed if a caller sends more. */
-        const val MAX_PIPELINED = 16
+        /** Requests of a connection that may wait for the response to one before them. */
+        const val MAX_QUEUED = 16
     }
 }
