Tell the holder of a batch job of its end although the caller has left

Cause: the end of a batch job ran in the coroutine of its caller's connection. A caller that left between the write to the store and the word to the holder cancelled the rest: the store said that the job had ended, and its holder went on running it. Callers saw items run on after an end that was stored; nothing was lost. Change: the write and the word to the holder run in the node's own scope. Evidence: the new test of BatchPathTest failed before (the job had not ended 5 s after the end was stored) and passes. `mvn verify -pl platform -am`, formatter and linter included, ran with BatchPathTest (26), OnlinePathTest (39, two of them known red and skipped), OddStoredObjectTest, HttpServerTest, AnswerDeliveryTest and RefusalDeliveryTest: no failure.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -5,9 +5,11 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onSuccess
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.error.Execution
@@ -24,6 +26,7 @@
 import ragwortbarrow.core.jobs.BatchJob
 import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.jobs.JobHolder
+import ragwortbarrow.core.jobs.JobState
 import ragwortbarrow.core.jobs.JobStore
 import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.jobs.takeEncoded
@@ -205,10 +208,9 @@
         if (job == null || job.customer != customer) {
             return reject(head, reply, ResultCode.NOT_FOUND, "no job ${operation.job}")
         }
-        jobStore.updateState(operation.job) { it.copy(isCancelled = true) }.fold(
+        // A caller that leaves meanwhile cancels its request, but the holder must learn of an end that is stored.
+        scope.async { storeCancellation(operation.job) }.await().fold(
             {
-                cancelledJobs.add(operation.job)
-                cancelAtHolder(operation.job)
                 log.record("job_end_acknowledged", "request_id" to head.requestId, "job" to operation.job)
                 reply.whole(200, JSON, EMPTY_OBJECT)
             },
@@ -216,6 +218,12 @@
         )
     }
 
+    private suspend fun storeCancellation(job: String): Result<JobState, StoreError> =
+        jobStore.updateState(job) { it.copy(isCancelled = true) }.onSuccess {
+            cancelledJobs.add(job)
+            cancelAtHolder(job)
+        }
+
     /** Results of a job that this node runs; null if it does not run the job. */
     internal suspend fun localPage(job: String, customer: String, after: Int, waitMillis: Long): JobPage? {
         val activeJob = runner.activeJob(job) ?: return null
