Let the stand-in of a runner send second copies that vary

Cause: LateCopy and RepeatedRefusal sent a second copy when the next request had been read, with its own status and length, whole or cut off; copies that come sooner, in parts, or that differ from the first response could not be played. Change: RunnerBehaviour.Repeated(first, SecondCopy) in their place: the time, the bytes sent, the number of parts, the status, the framing, and whether the copy bears the id and the stamp. RunnerResponse holds a response before it is written, so that a copy is derived from it; RunnerBehaviour has a file of its own. The three tests that used the two behaviours send the same bytes as before, except for the reason phrase of refusals and streams, which is Status for all responses.

--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -15,93 +15,6 @@
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.locks.LockSupport
 
-/** A request that a runner received. */
-class RunnerRequest(
-    val method: String,
-    val path: String,
-    val headers: Map<String, String>,
-    val body: String,
-    val atNanos: Long = System.nanoTime(),
-) {
-    fun header(name: String): String? = headers[name.lowercase()]
-}
-
-/** How a runner responds to a request. */
-sealed interface RunnerBehaviour {
-    /** A complete response with this body. */
-    data class Plain(val body: String, val status: Int = 200) : RunnerBehaviour
-
-    /** A complete response after [delayMillis]. */
-    data class Slow(val body: String, val delayMillis: Long) : RunnerBehaviour
-
-    /**
-     * A stream of [events] events, [gapMillis] apart, that begins after [delayMillis]; if [breakAfter] is set, the
-     * connection breaks after that many events. If [silentAfter] is set, nothing is sent for [silenceMillis] after that
-     * many events. With [ignoresResume] it begins at the first event in any case. [padding] follows the text of each
-     * event.
-     */
-    data class Stream(
-        val events: Int,
-        val gapMillis: Long = 1,
-        val breakAfter: Int? = null,
-        val delayMillis: Long = 0,
-        val silentAfter: Int? = null,
-        val silenceMillis: Long = 0,
-        val ignoresResume: Boolean = false,
-        val padding: String = "",
-    ) : RunnerBehaviour
-
-    /** Selects a behaviour for each request. */
-    class Chosen(val choose: (RunnerRequest) -> RunnerBehaviour) : RunnerBehaviour
-
-    /** Rejects the request without executing it. */
-    data object Full : RunnerBehaviour
-
-    /**
-     * Rejects the request without executing it, and sends the rejection again when the next request has arrived on the
-     * connection, before the response to that one: as it was, or without its id.
-     */
-    data class RepeatedRefusal(val repeatsId: Boolean) : RunnerBehaviour
-
-    /** Closes the connection without a response. */
-    data object NoResponse : RunnerBehaviour
-
-    /** Sends a complete response to a different request first, then the correct one. */
-    data class Crossed(val body: String) : RunnerBehaviour
-
-    /**
-     * A complete response whose first [copiedBytes] are sent again on the same connection when the next request has
-     * arrived there, before the response to that one.
-     */
-    data class LateCopy(val body: String, val status: Int = 200, val copiedBytes: Int = Int.MAX_VALUE) :
-        RunnerBehaviour
-
-    /** A stream of [events] events that then sends only comment bytes, one every [gapMillis], and never ends. */
-    data class Stuck(val events: Int, val gapMillis: Long = 50) : RunnerBehaviour
-
-    /** A stream whose events, of 8 KB each, only end when the client closes or [limitBytes] have been sent. */
-    data class Endless(val limitBytes: Long = 64L * 1024 * 1024) : RunnerBehaviour
-
-    /** A response with neither a length nor chunks, which ends with its connection: closed, or reset if [isReset]. */
-    data class Unframed(
-        val body: String,
-        val contentType: String = "text/event-stream",
-        val isReset: Boolean = false,
-    ) : RunnerBehaviour
-
-    /** A successful response without the `X-Server-Stamp` header. */
-    data class Unstamped(val body: String) : RunnerBehaviour
-
-    /** A response that is cut off within its body. */
-    data class Truncated(val body: String) : RunnerBehaviour
-
-    /** The first [sentBytes] of a complete response, after which the connection is closed. */
-    data class CutOff(val body: String, val sentBytes: Int) : RunnerBehaviour
-
-    /** Closes all connections and refuses new ones for [outageMillis], as a process that ends and starts again. */
-    data class Crash(val outageMillis: Long) : RunnerBehaviour
-}
-
 /** Simulates a runner of the operators' platform on loopback. Behaviours apply in order, and the last one repeats. */
 class OperatorRunnerStandIn(val id: String, vararg behaviours: RunnerBehaviour) : AutoCloseable {
     @Volatile private var socket = ServerSocket(0, BACKLOG, LOOPBACK)
@@ -186,25 +99,52 @@
     }
 
     private fun serveRequests(connection: Socket, input: InputStream, output: OutputStream) {
-        var lateCopy: String? = null
+        var lateCopy: PendingCopy? = null
         while (true) {
             val request = readRequest(input) ?: return
-            lateCopy?.let { output.send(it) }
+            if (lateCopy != null && !lateCopy.sendTo(output)) return
             received += request
             val behaviour = if (isMisdirected(request)) null else nextBehaviour(request)
             if (!respond(request, behaviour, connection, output)) return
-            lateCopy = when (behaviour) {
-                null -> misdirected(request).takeIf { repeatsMisdirected }
-                is RunnerBehaviour.LateCopy ->
-                    completeResponse(request, behaviour.status, behaviour.body).take(behaviour.copiedBytes)
-                is RunnerBehaviour.RepeatedRefusal -> refusal(if (behaviour.repeatsId) echo(request) else "")
-                else -> null
+            val copy = secondCopy(request, behaviour)
+            lateCopy = when (val time = copy?.copy?.time) {
+                null -> null
+                CopyTime.AfterNextRequest -> copy
+                CopyTime.WithResponse -> if (copy.copy.endsConnection) return else null
+                is CopyTime.AfterResponse -> {
+                    LockSupport.parkNanos(time.delayMillis * 1_000_000)
+                    if (copy.sendTo(output)) null else return
+                }
             }
         }
     }
 
+    /** The [copy] of a response that is about to be sent. */
+    private class PendingCopy(private val response: RunnerResponse, val copy: SecondCopy) {
+        /** Returns whether the connection stays open. */
+        fun sendTo(output: OutputStream): Boolean {
+            for ((index, part) in copy.writes(response).withIndex()) {
+                if (index > 0) LockSupport.parkNanos(copy.gapMillis * 1_000_000)
+                output.send(part)
+            }
+            return !copy.endsConnection
+        }
+    }
+
+    private fun secondCopy(request: RunnerRequest, behaviour: RunnerBehaviour?): PendingCopy? = when (behaviour) {
+        null -> if (repeatsMisdirected) PendingCopy(misdirected(request), SecondCopy()) else null
+        is RunnerBehaviour.Repeated -> PendingCopy(wholeResponse(request, behaviour.first), behaviour.copy)
+        else -> null
+    }
+
     private fun isMisdirected(request: RunnerRequest) = (request.header("X-Expect-Instance") ?: id) != id
 
+    private fun runsRequest(behaviour: RunnerBehaviour): Boolean = when (behaviour) {
+        RunnerBehaviour.Full -> false
+        is RunnerBehaviour.Repeated -> runsRequest(behaviour.first)
+        else -> true
+    }
+
     private fun nextBehaviour(request: RunnerRequest): RunnerBehaviour {
         val next = if (upcoming.size > 1) upcoming.remove() else upcoming.peek()
         return if (next is RunnerBehaviour.Chosen) next.choose(request) else next
@@ -236,36 +176,30 @@
         output: OutputStream,
     ): Boolean {
         if (behaviour == null) {
-            output.send(misdirected(request))
+            output.send(misdirected(request).text)
             return true
         }
-        if (behaviour != RunnerBehaviour.Full && behaviour !is RunnerBehaviour.RepeatedRefusal) ran += request
+        if (runsRequest(behaviour)) ran += request
         when (behaviour) {
-            is RunnerBehaviour.Plain -> output.send(completeResponse(request, behaviour.status, behaviour.body))
-            is RunnerBehaviour.LateCopy -> output.send(completeResponse(request, behaviour.status, behaviour.body))
-            is RunnerBehaviour.Stuck -> sendStuckStream(request, behaviour, output)
-            is RunnerBehaviour.Slow -> {
-                LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
-                output.send(completeResponse(request, 200, behaviour.body))
+            is RunnerBehaviour.Repeatable -> return respondWhole(request, behaviour, output)
+            is RunnerBehaviour.Repeated -> {
+                val copy = behaviour.copy.takeIf { it.time == CopyTime.WithResponse }
+                val appended = copy?.writes(wholeResponse(request, behaviour.first)).orEmpty().joinToString("")
+                return respondWhole(request, behaviour.first, output, appended)
             }
-            is RunnerBehaviour.Stream -> return stream(request, behaviour, output)
-            RunnerBehaviour.Full, is RunnerBehaviour.RepeatedRefusal -> output.send(refusal(echo(request)))
+            is RunnerBehaviour.Stuck -> sendStuckStream(request, behaviour, output)
             is RunnerBehaviour.Crossed -> {
-                output.send(completeResponse(request, 200, "somebody else's", id = "other"))
-                output.send(completeResponse(request, 200, behaviour.body))
+                output.send(completeResponse(request, 200, "somebody else's", id = "other").text)
+                output.send(completeResponse(request, 200, behaviour.body).text)
             }
-            is RunnerBehaviour.Unstamped -> output.send(
-                "HTTP/1.1 200 OK\r\n${echo(request)}Content-Length: ${behaviour.body.length}\r\n\r\n${behaviour.body}",
-            )
+            is RunnerBehaviour.Unstamped -> output.send(RunnerResponse(200, echo(request), behaviour.body).text)
             is RunnerBehaviour.Truncated, is RunnerBehaviour.CutOff, is RunnerBehaviour.Endless -> {
                 sendUnfinished(request, behaviour, output)
                 return false
             }
             is RunnerBehaviour.Unframed -> {
-                output.send(
-                    "HTTP/1.1 200 OK\r\n${echo(request)}X-Server-Stamp: stamp-$id\r\n" +
-                        "Content-Type: ${behaviour.contentType}\r\n\r\n${behaviour.body}",
-                )
+                val headers = stamped(request) + ("Content-Type" to behaviour.contentType)
+                output.send(RunnerResponse(200, headers, behaviour.body, BodyFraming.CONNECTION_END).text)
                 if (behaviour.isReset) reset(connection)
                 return false
             }
@@ -281,9 +215,9 @@
     /** Sends a response that the client can only find to be broken off. */
     private fun sendUnfinished(request: RunnerRequest, behaviour: RunnerBehaviour, output: OutputStream) {
         when (behaviour) {
-            is RunnerBehaviour.Truncated -> output.send(completeResponse(request, 200, behaviour.body).dropLast(1))
+            is RunnerBehaviour.Truncated -> output.send(completeResponse(request, 200, behaviour.body).text.dropLast(1))
             is RunnerBehaviour.CutOff ->
-                output.send(completeResponse(request, 200, behaviour.body).take(behaviour.sentBytes))
+                output.send(completeResponse(request, 200, behaviour.body).text.take(behaviour.sentBytes))
             is RunnerBehaviour.Endless -> sendEndlessStream(request, behaviour, output)
             else -> error("$behaviour sends a finished response")
         }
@@ -296,7 +230,7 @@
     }
 
     private fun sendStuckStream(request: RunnerRequest, behaviour: RunnerBehaviour.Stuck, output: OutputStream) {
-        output.send(streamHead(request))
+        output.send(streamResponse(request).head)
         for (event in 1..behaviour.events) output.sendChunk("id: $event\ndata: piece $event\n\n")
         output.sendChunk(":")
         while (true) {
@@ -306,7 +240,7 @@
     }
 
     private fun sendEndlessStream(request: RunnerRequest, behaviour: RunnerBehaviour.Endless, output: OutputStream) {
-        output.send(streamHead(request))
+        output.send(streamResponse(request).head)
         val data = "x".repeat(ENDLESS_EVENT_CHARS)
         var event = request.header("Last-Event-Id")?.toInt() ?: 0
         while (endlessBytes.addAndGet(data.length.toLong()) < behaviour.limitBytes) {
@@ -314,53 +248,86 @@
         }
     }
 
-    private fun streamHead(request: RunnerRequest) =
-        "HTTP/1.1 200 OK\r\n${echo(request)}X-Server-Stamp: stamp-$id\r\nContent-Type: text/event-stream\r\n" +
-            "Transfer-Encoding: chunked\r\n\r\n"
+    /** Sends a complete response and [appended] in the same write; returns whether the connection stays open. */
+    private fun respondWhole(
+        request: RunnerRequest,
+        behaviour: RunnerBehaviour.Repeatable,
+        output: OutputStream,
+        appended: String = "",
+    ): Boolean {
+        when (behaviour) {
+            is RunnerBehaviour.Stream -> return stream(request, behaviour, output, appended)
+            is RunnerBehaviour.Slow -> LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
+            is RunnerBehaviour.Plain, RunnerBehaviour.Full -> Unit
+        }
+        output.send(wholeResponse(request, behaviour).text + appended)
+        return true
+    }
+
+    private fun wholeResponse(request: RunnerRequest, behaviour: RunnerBehaviour.Repeatable) = when (behaviour) {
+        is RunnerBehaviour.Plain -> completeResponse(request, behaviour.status, behaviour.body)
+        is RunnerBehaviour.Slow -> completeResponse(request, 200, behaviour.body)
+        is RunnerBehaviour.Stream -> {
+            val events = firstEvent(request, behaviour)..behaviour.events
+            streamResponse(request, events.joinToString("") { eventText(it, behaviour) })
+        }
+        RunnerBehaviour.Full -> RunnerResponse(503, echo(request) + ("X-Not-Executed" to "1"), body = "")
+    }
 
-    private fun stream(request: RunnerRequest, behaviour: RunnerBehaviour.Stream, output: OutputStream): Boolean {
+    private fun stream(
+        request: RunnerRequest,
+        behaviour: RunnerBehaviour.Stream,
+        output: OutputStream,
+        appended: String,
+    ): Boolean {
         LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
-        output.send(streamHead(request))
-        val first = (request.header("Last-Event-Id")?.takeUnless { behaviour.ignoresResume }?.toInt() ?: 0) + 1
-        for ((index, event) in (first..behaviour.events).withIndex()) {
+        output.send(streamResponse(request).head)
+        for ((index, event) in (firstEvent(request, behaviour)..behaviour.events).withIndex()) {
             if (index == behaviour.silentAfter) LockSupport.parkNanos(behaviour.silenceMillis * 1_000_000)
             if (index == behaviour.breakAfter) {
                 output.send("9\r\nid: $event\n".take(PARTIAL_EVENT_BYTES))
                 return false
             }
-            output.sendChunk("id: $event\ndata: piece $event${behaviour.padding}\n\n")
+            output.sendChunk(eventText(event, behaviour))
             if (behaviour.gapMillis > 0) LockSupport.parkNanos(behaviour.gapMillis * 1_000_000)
         }
-        output.send("0\r\n\r\n")
+        output.send(RunnerResponse.LAST_CHUNK + appended)
         return true
     }
 
-    private fun completeResponse(request: RunnerRequest, status: Int, body: String, id: String? = null): String {
-        val echoed = if (id == null) echo(request) else "X-Request-Id: $id\r\n"
-        return "HTTP/1.1 $status Status\r\n${echoed}X-Server-Stamp: stamp-${this.id}\r\n" +
-            "Content-Length: ${body.length}\r\n\r\n$body"
-    }
+    private fun firstEvent(request: RunnerRequest, behaviour: RunnerBehaviour.Stream): Int =
+        (request.header("Last-Event-Id")?.takeUnless { behaviour.ignoresResume }?.toInt() ?: 0) + 1
 
-    private fun misdirected(request: RunnerRequest) =
-        "HTTP/1.1 421 Misdirected Request\r\n${echo(request)}X-Instance-Id: $id\r\nContent-Length: 0\r\n\r\n"
+    private fun eventText(event: Int, behaviour: RunnerBehaviour.Stream) =
+        "id: $event\ndata: piece $event${behaviour.padding}\n\n"
+
+    private fun streamResponse(request: RunnerRequest, body: String = "") =
+        RunnerResponse(200, stamped(request) + ("Content-Type" to "text/event-stream"), body, BodyFraming.CHUNKED)
 
-    private fun refusal(idHeader: String) =
-        "HTTP/1.1 503 Service Unavailable\r\n${idHeader}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    private fun completeResponse(request: RunnerRequest, status: Int, body: String, id: String? = null) =
+        RunnerResponse(status, stamped(request, id), body)
 
-    private fun echo(request: RunnerRequest) =
-        "X-Request-Id: ${request.header("X-Request-Id")}\r\n" + if (isLeaving) "Server-Leaving: 1\r\n" else ""
+    private fun misdirected(request: RunnerRequest) =
+        RunnerResponse(421, echo(request) + ("X-Instance-Id" to id), body = "")
 
-    private fun OutputStream.sendChunk(text: String) = send("${text.length.toString(HEX)}\r\n$text\r\n")
+    private fun stamped(request: RunnerRequest, id: String? = null) =
+        echo(request, id) + (RunnerResponse.SERVER_STAMP to "stamp-${this.id}")
 
-    private fun OutputStream.send(text: String) {
-        write(text.encodeToByteArray())
-        flush()
+    private fun echo(request: RunnerRequest, id: String? = null): Map<String, String> = buildMap {
+        put(RunnerResponse.REQUEST_ID, id ?: request.header(RunnerResponse.REQUEST_ID).toString())
+        if (isLeaving) put("Server-Leaving", "1")
     }
 
     private companion object {
+        fun OutputStream.sendChunk(text: String) = send(RunnerResponse.chunk(text))
+
+        fun OutputStream.send(text: String) {
+            write(text.encodeToByteArray())
+            flush()
+        }
+
         const val BACKLOG = 256
         val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
-        const val HEX = 16
         const val PARTIAL_EVENT_BYTES = 8
         const val ENDLESS_EVENT_CHARS = 8_000
         const val RESET_DELAY_NANOS = 50_000_000L
