--- a/soak/src/test/kotlin/ragwortbarrow/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/ragwortbarrow/soak/SoakTest.kt
@@ -22,13 +22,14 @@
     )
 
     @TestFactory
-    fun `every guarantee holds in a soak`(): List<DynamicTest> = SEEDS.filterKeys { !isKnownFailure(it) }.map { (seed, cause) ->
-        DynamicTest.dynamicTest("seed $seed: $cause") {
-            val folder = Path.of("target", "soak")
-            val report = Soak.of(seed, SECONDS, nodes = 6, program = program, folder = folder).run()
-            println(report)
-            expectThat(report.violations).isEmpty()
-        }
+    fun `every guarantee holds in a soak`(): List<DynamicTest> =
+        SEEDS.filterKeys { !isKnownFailure(it) }.map { (seed, cause) -> soakTest(seed, cause) }
+
+    private fun soakTest(seed: Long, cause: String) = DynamicTest.dynamicTest("seed $seed: $cause") {
+        val folder = Path.of("target", "soak")
+        val report = Soak.of(seed, SECONDS, nodes = 6, program = program, folder = folder).run()
+        println(report)
+        expectThat(report.violations).isEmpty()
     }
 
     private fun isKnownFailure(seed: Long): Boolean {
