--- a/soak/src/test/kotlin/ragwortbarrow/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/ragwortbarrow/soak/SoakTest.kt
@@ -23,9 +23,9 @@
 
     @TestFactory
     fun `every guarantee holds in a soak`(): List<DynamicTest> =
-        SEEDS.filterKeys { !isKnownFailure(it) }.map { (seed, cause) -> soakTest(seed, cause) }
+        SEEDS.filterKeys { !isKnownFailure(it) }.map { (seed, cause) -> seedTest(seed, cause) }
 
-    private fun soakTest(seed: Long, cause: String) = DynamicTest.dynamicTest("seed $seed: $cause") {
+    private fun seedTest(seed: Long, cause: String) = DynamicTest.dynamicTest("seed $seed: $cause") {
         val folder = Path.of("target", "soak")
         val report = Soak.of(seed, SECONDS, nodes = 6, program = program, folder = folder).run()
         println(report)
