Let the runner stand-in name a limit of its requests

Tests need a server that states the requests a second that it takes, valid or malformed. The stand-in sends the values as they are set in all of its responses, refusals, streams and responses for other servers included, and repeats the header for more than one. Times of arrival were recorded already (RunnerRequest.atNanos). Headers of its responses are a list, since one may come twice. LeavingServerTest and the tests of second copies pass; no test sets a limit yet.

--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -38,6 +38,17 @@
     @Volatile
     var isLeaving = false
 
+    /** Values of the `Server-Limit` headers of all responses, as sent; more than one repeats the header. */
+    @Volatile
+    var requestLimits: List<String> = emptyList()
+
+    /** The only value of [requestLimits], in requests per second if it is valid; null for no limit. */
+    var requestLimit: String?
+        get() = requestLimits.singleOrNull()
+        set(value) {
+            requestLimits = listOfNotNull(value)
+        }
+
     /** Whether a response to a request for another runner is sent again before the response to the next request. */
     @Volatile
     var repeatsMisdirected = false
@@ -313,9 +324,10 @@
     private fun stamped(request: RunnerRequest, id: String? = null) =
         echo(request, id) + (RunnerResponse.SERVER_STAMP to "stamp-${this.id}")
 
-    private fun echo(request: RunnerRequest, id: String? = null): Map<String, String> = buildMap {
-        put(RunnerResponse.REQUEST_ID, id ?: request.header(RunnerResponse.REQUEST_ID).toString())
-        if (isLeaving) put("Server-Leaving", "1")
+    private fun echo(request: RunnerRequest, id: String? = null): List<Pair<String, String>> = buildList {
+        add(RunnerResponse.REQUEST_ID to (id ?: request.header(RunnerResponse.REQUEST_ID).toString()))
+        if (isLeaving) add("Server-Leaving" to "1")
+        requestLimits.forEach { add("Server-Limit" to it) }
     }
 
     private companion object {
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/RunnerResponse.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/RunnerResponse.kt
@@ -12,16 +12,16 @@
 /** A response of a runner as it is written to a connection. */
 internal data class RunnerResponse(
     val status: Int,
-    val headers: Map<String, String>,
+    val headers: List<Pair<String, String>>,
     val body: String,
     val framing: BodyFraming = BodyFraming.LENGTH,
 ) {
     val head: String
         get() {
             val framingHeader = when (framing) {
-                BodyFraming.LENGTH -> mapOf("Content-Length" to "${body.length}")
-                BodyFraming.CHUNKED -> mapOf("Transfer-Encoding" to "chunked")
-                BodyFraming.CONNECTION_END -> emptyMap()
+                BodyFraming.LENGTH -> listOf("Content-Length" to "${body.length}")
+                BodyFraming.CHUNKED -> listOf("Transfer-Encoding" to "chunked")
+                BodyFraming.CONNECTION_END -> emptyList()
             }
             val lines = (headers + framingHeader).map { (name, value) -> "$name: $value" }
             return (listOf("HTTP/1.1 $status Status") + lines).joinToString("") { "$it\r\n" } + "\r\n"
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/SecondCopy.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/SecondCopy.kt
@@ -38,7 +38,7 @@
         )
         val copy = response.copy(
             status = status ?: response.status,
-            headers = response.headers - omitted,
+            headers = response.headers.filterNot { (name, _) -> name in omitted },
             framing = framing ?: response.framing,
         )
         val text = copy.text.take(sentBytes)
