Keep the requests of all nodes within the limits that servers name

Cause: a server in need names in its responses the requests a second that it takes from all nodes together, and nothing read the header; placement by free slots decided alone. The class: a server's word on its own state that placement does not know. ServerLimits, LimitHolders and LimitShare divide a limit among a few nodes, which send at a steady rate; what servers say travels with the loads. Every send passes ServerTracker.recordStart, so requests that are sent again, streams that move and batch items count. What no server takes in time is rejected at once with the time of the next permit.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/ActivitySummary.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/ActivitySummary.kt
@@ -7,6 +7,7 @@
 import ragwortbarrow.core.placement.Occupancy
 import ragwortbarrow.core.placement.ServerOutcomes
 import ragwortbarrow.core.quarantine.QuarantineEvidence
+import ragwortbarrow.core.serverlimit.ServerLimitReport
 
 /** The current activity of a node, or the sum over a relay and the nodes that it relays. */
 data class ActivitySummary(
@@ -21,7 +22,15 @@
     val acceptedJobs: Map<String, JobHolder> = emptyMap(),
     /** Prompts on which backend servers crashed. */
     val quarantineEvidence: QuarantineEvidence = QuarantineEvidence(),
+    /** What backend servers said of the requests that they take. */
+    val serverLimits: Map<BackendServerId, ServerLimitReport> = emptyMap(),
 ) {
+    /** This summary with the ages of its reports after [millis] have passed. */
+    fun aged(millis: Long) = copy(
+        quarantineEvidence = quarantineEvidence.aged(millis),
+        serverLimits = serverLimits.mapValues { (_, report) -> report.aged(millis) },
+    )
+
     operator fun plus(others: List<ActivitySummary>): ActivitySummary {
         if (others.isEmpty()) return this
         val summaries = others + this
@@ -32,6 +41,7 @@
             takenOverJobs = summaries.flatMap { it.takenOverJobs },
             acceptedJobs = sum(summaries, ActivitySummary::acceptedJobs) { first, _ -> first },
             quarantineEvidence = quarantineEvidence + others.map { it.quarantineEvidence },
+            serverLimits = sum(summaries, ActivitySummary::serverLimits, ServerLimitReport::newer),
         )
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -43,6 +43,9 @@
     /** Other members that are reachable and not leaving. */
     fun reachable(): List<FleetNode> = members.values.filter { isReachable(it) && !it.isLeaving }.map { it.node }
 
+    /** Other members that are not leaving, including unreachable ones, which may be running behind a partition. */
+    fun notLeaving(): List<FleetNode> = members.values.filter { !it.isLeaving }.map { it.node }
+
     /** Number of members, including this node and unreachable ones. */
     val size: Int get() = members.size + 1
 
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -20,7 +20,7 @@
 ) {
     /** The least loaded server with room for one more item, or null if there is none. */
     fun place(service: String, slack: Slack, excludedServers: Set<BackendServerId> = emptySet()): BackendServer? =
-        tracker.eligible(service, excludedServers)
+        tracker.eligible(service, excludedServers, isBatch = true)
             .filter { tracker.occupancy(it.id).total < maxOccupancy(it, slack) }
             .minByOrNull {
                 val remotePenalty = if (it.failureDomain == localDomain) 0.0 else REMOTE_PENALTY
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -88,13 +88,18 @@
                 .any { tracker.occupancy(it.id).total < it.slots }
 
     private fun choose(candidates: List<BackendServer>): BackendServer {
-        val withFreeSlot = preferredSlots?.let { preferred ->
-            preferredServer(candidates, preferred)
-                ?: randomServer(candidates) { it.total }
-                // Batch items make room for online requests, but that takes a moment and interrupts their run.
-                ?: randomServer(candidates) { it.online }
-        }
-        return withFreeSlot ?: candidates.minBy { score(it) }
+        // What servers with a limit take is saved up for a jump in load.
+        val spare = candidates.filter { tracker.hasSparePermit(it) }
+        return withFreeSlot(spare)
+            ?: (if (spare.size < candidates.size) withFreeSlot(candidates) else null)
+            ?: candidates.minBy { score(it) }
+    }
+
+    private fun withFreeSlot(candidates: List<BackendServer>): BackendServer? = preferredSlots?.let { preferred ->
+        preferredServer(candidates, preferred)
+            ?: randomServer(candidates) { it.total }
+            // Batch items make room for online requests, but that takes a moment and interrupts their run.
+            ?: randomServer(candidates) { it.online }
     }
 
     /** The least loaded server with a free slot where this node uses fewer slots than it is assigned. */
@@ -160,17 +165,30 @@
         return load + remotePenalty + random.nextDouble() * TIE_SPREAD
     }
 
-    /** If every server is paused after failures, one is still tried, because the pauses may outlast the cause. */
+    /**
+     * If every server is paused after failures, one is still tried, because the pauses may outlast the cause, unless
+     * the servers limit their requests.
+     */
     private fun fallback(request: PlacementRequest): Placement {
         val candidates = tracker.nonDraining(request.service).filter { it.id !in request.excludedServers }
-        val trial = candidates.filter { tracker.localOccupancy(it.id).total == 0 }.randomOrNull(random)
-        return if (trial == null || tracker.eligible(request.service, request.excludedServers).isNotEmpty()) {
-            Placement.NoServer(DEFAULT_RETRY_MILLIS)
-        } else {
-            Placement.Send(trial, 0.0)
+        val (permitted, limited) = candidates.partition { tracker.permitWaitMillis(it) == 0.0 }
+        val trial = permitted.filter { tracker.localOccupancy(it.id).total == 0 }.randomOrNull(random)
+        return when {
+            tracker.eligible(request.service, request.excludedServers).isNotEmpty() ->
+                Placement.NoServer(DEFAULT_RETRY_MILLIS)
+            trial != null -> Placement.Send(trial, 0.0)
+            limited.isNotEmpty() -> limitedByServers(limited, request)
+            else -> Placement.NoServer(DEFAULT_RETRY_MILLIS)
         }
     }
 
+    /** The servers that are left take no request of this node now; the first one that will tells when to retry. */
+    private fun limitedByServers(limited: List<BackendServer>, request: PlacementRequest): Placement {
+        val waitMillis = limited.mapNotNull { tracker.permitWaitMillis(it) }.minOrNull()
+            ?: DEFAULT_RETRY_MILLIS.toDouble()
+        return Placement.Full(waitMillis, retryAfterMillis(waitMillis, request))
+    }
+
     /**
      * The time after which a slot is expected to be free, plus a random extra of up to [RETRY_SPREAD] of it, because
      * callers that are rejected together would otherwise retry together.
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
@@ -14,6 +14,7 @@
 class ServerTracker(
     private val timer: TimerService,
     private val health: ServerHealth = ServerHealth(timer, maxBackoffMillis = MAX_BACKOFF_MILLIS),
+    private val permits: SendPermits = SendPermits.UNLIMITED,
 ) {
     private class PeerReport(
         val loads: Map<BackendServerId, Occupancy>,
@@ -111,12 +112,19 @@
     fun isStalled(server: BackendServerId): Boolean =
         server in openResponses && timer.monotonicMillis() - (lastActivityMillis[server] ?: 0) > STALL_TIMEOUT_MILLIS
 
-    /** The servers of [service] that may get a new request, except [excludedServers]. */
-    fun eligible(service: String, excludedServers: Set<BackendServerId> = emptySet()): List<BackendServer> {
+    /** The servers of [service] that may get a new request now, except [excludedServers]. */
+    fun eligible(
+        service: String,
+        excludedServers: Set<BackendServerId> = emptySet(),
+        isBatch: Boolean = false,
+    ): List<BackendServer> {
         val ofService = serversByService[service] ?: return emptyList()
         val nowMillis = timer.monotonicMillis()
         val candidates = ofService.filter {
-            !it.isDraining && it.id !in excludedServers && (blockedUntilMillis[it.id] ?: 0) <= nowMillis
+            !it.isDraining &&
+                it.id !in excludedServers &&
+                (blockedUntilMillis[it.id] ?: 0) <= nowMillis &&
+                permits.waitMillis(it, isSpare = isBatch) == 0.0
         }
         val healthy = candidates.filter { health.isAvailable(it.id) && !isStalled(it.id) }
         return healthy.filter { !isFailing(it.id) }.ifEmpty { healthy }
@@ -154,6 +162,15 @@
     fun nonDraining(service: String): List<BackendServer> =
         serversByService[service].orEmpty().filter { !it.isDraining }
 
+    /** Whether a request to [server], which may limit them, takes none away that could be saved up for later. */
+    fun hasSparePermit(server: BackendServer): Boolean = permits.waitMillis(server, isSpare = true) == 0.0
+
+    /**
+     * The time until this node may send the next online request to [server], which may limit its requests; null if none
+     * is foreseen.
+     */
+    fun permitWaitMillis(server: BackendServer): Double? = permits.waitMillis(server, isSpare = false)
+
     /** The requests in flight at [server], from this node and as reported by all others. */
     fun occupancy(server: BackendServerId): Occupancy = localOccupancy(server) + (peerOccupancies[server] ?: NONE)
 
@@ -167,6 +184,7 @@
      * run, to be passed to [recordEnd].
      */
     fun recordStart(server: BackendServerId, isBatch: Boolean, waitMillis: Double = 0.0): Long {
+        servers[server]?.let { permits.recordSend(it) }
         val startMillis = timer.monotonicMillis() + waitMillis.toLong()
         adjustCount(server, isBatch, 1)
         if (!isBatch) onlineStartsMillis.getOrPut(server) { ArrayList() } += startMillis
--- /dev/null
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -0,0 +1,182 @@
+package ragwortbarrow.core.serverlimit
+
+import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.log.record
+import ragwortbarrow.core.placement.BackendServer
+import ragwortbarrow.core.placement.SendPermits
+import ragwortbarrow.core.time.NANOS_PER_MILLI
+import ragwortbarrow.core.time.TimerService
+
+/**
+ * Keeps the requests of all nodes within the limits that backend servers name, without a call to another node per
+ * request. [LimitHolders] divides a limit among a few nodes, each of which sends at a steady rate; the others send
+ * nothing. What a server said last reaches all nodes with the states that they exchange.
+ *
+ * A node that becomes a holder waits for [SETTLE_NANOS], in which the former holder learns of the change. A holder of
+ * a limit near zero still sends a request per [PROBE_INTERVAL_MILLIS], whose response shows whether the limit has
+ * ended. Confined to one thread.
+ */
+class ServerLimits(private val holders: LimitHolders, private val timer: TimerService, private val log: DecisionLog) :
+    SendPermits {
+    private class Statement(
+        val requestsPerSecond: Double?,
+        val incarnation: Long?,
+        val atNanos: Long,
+        /** Whether this node read it in a response itself. */
+        val isOwn: Boolean,
+    ) {
+        /** The share of this node; null if it holds none. */
+        var share: LimitShare? = null
+
+        /** The [LimitHolders.changeCount] for which [share] was decided; null if it has to be decided again. */
+        var sharedAtChange: Int? = null
+
+        /** Whether nodes have shared a limit of this process before, so that another one may hold the share. */
+        var wasShared = false
+    }
+
+    private val startedNanos = timer.nanoTime()
+    private val statements = HashMap<BackendServerId, Statement>()
+    private val unreadable = HashMap<BackendServerId, Long?>()
+
+    /** Number of servers with a limit. */
+    val size: Int get() = statements.values.count { it.requestsPerSecond != null }
+
+    /** Records what a response of [server] says, which is described as of the time of its request. */
+    fun recordResponse(server: BackendServer, limit: RequestLimit) {
+        val requestsPerSecond = when (limit) {
+            is RequestLimit.PerSecond -> limit.requestsPerSecond
+            RequestLimit.None -> null
+            RequestLimit.Unreadable -> null.also { logUnreadable(server) }
+        }
+        val known = statements[server.id]
+        if (known == null && requestsPerSecond == null) return
+        if (known != null && hasEnded(server.incarnation, known.incarnation)) return
+        state(server.id, Statement(requestsPerSecond, server.incarnation, timer.nanoTime(), isOwn = true))
+    }
+
+    private fun logUnreadable(server: BackendServer) {
+        if (server.id in unreadable && unreadable[server.id] == server.incarnation) return
+        unreadable[server.id] = server.incarnation
+        log.record("server_limit_unreadable", "server" to server.id, "incarnation" to server.incarnation)
+    }
+
+    private fun state(server: BackendServerId, statement: Statement) {
+        val known = statements.put(server, statement)
+        if (known?.requestsPerSecond != null && known.incarnation == statement.incarnation) {
+            statement.share = known.share
+            statement.wasShared = true
+            if (known.requestsPerSecond == statement.requestsPerSecond) {
+                statement.sharedAtChange = known.sharedAtChange
+                return
+            }
+        }
+        if (known?.requestsPerSecond == null && statement.requestsPerSecond == null) return
+        log.record(
+            "server_limit",
+            "server" to server,
+            "incarnation" to statement.incarnation,
+            "requests_per_second" to statement.requestsPerSecond,
+            "before" to known?.requestsPerSecond,
+            "from" to if (statement.isOwn) "response" else "peer",
+            "age_ms" to ageMillis(statement),
+        )
+    }
+
+    /** What this node tells its peers: what it read itself, and for [REPORT_END_MILLIS] that a limit has ended. */
+    fun reports(): Map<BackendServerId, ServerLimitReport> {
+        if (statements.isEmpty()) return emptyMap()
+        return statements
+            .filterValues { it.isOwn && (it.requestsPerSecond != null || ageMillis(it) <= REPORT_END_MILLIS) }
+            .mapValues { (_, it) -> ServerLimitReport(it.requestsPerSecond, it.incarnation, ageMillis(it)) }
+    }
+
+    /** Adds what peers read in responses. */
+    fun merge(reports: Map<BackendServerId, ServerLimitReport>) {
+        for ((server, report) in reports) {
+            val known = statements[server]
+            val atNanos = timer.nanoTime() - report.ageMillis * NANOS_PER_MILLI
+            val isNew = if (known == null) report.requestsPerSecond != null else atNanos > known.atNanos
+            if (!isNew || (known != null && hasEnded(report.incarnation, known.incarnation))) continue
+            state(server, Statement(report.requestsPerSecond, report.incarnation, atNanos, isOwn = false))
+        }
+    }
+
+    /** Forgets what processes said that have ended: those of servers that are not listed or have started again. */
+    fun retain(listed: Collection<BackendServer>) {
+        val servers = listed.associateBy { it.id }
+        statements.entries.removeIf { (id, statement) ->
+            val server = servers[id]
+            // A live server's entry may be missing for a while; without an incarnation it counts as another server.
+            if (server == null) {
+                statement.incarnation == null || ageMillis(statement) > UNLISTED_MILLIS
+            } else {
+                hasEnded(statement.incarnation, server.incarnation)
+            }
+        }
+        unreadable.keys.retainAll(servers.keys)
+    }
+
+    /** Whether a server's process with [incarnation] has ended if the one with [newest] is known. */
+    private fun hasEnded(incarnation: Long?, newest: Long?) =
+        incarnation != newest && (incarnation == null || newest == null || incarnation < newest)
+
+    override fun waitMillis(server: BackendServer, isSpare: Boolean): Double? {
+        if (statements.isEmpty()) return 0.0
+        val statement = limiting(server) ?: return 0.0
+        return share(server, statement)?.waitMillis(timer.nanoTime(), isSpare)
+    }
+
+    override fun recordSend(server: BackendServer) {
+        val statement = limiting(server) ?: return
+        share(server, statement)?.recordSend(timer.nanoTime())
+    }
+
+    private fun limiting(server: BackendServer): Statement? =
+        statements[server.id]?.takeIf { it.requestsPerSecond != null && it.incarnation == server.incarnation }
+
+    private fun share(server: BackendServer, statement: Statement): LimitShare? {
+        val requestsPerSecond = statement.requestsPerSecond ?: return null
+        val changeCount = holders.changeCount
+        if (statement.sharedAtChange == changeCount) return statement.share
+        val count = holders.count(server, requestsPerSecond)
+        statement.share = if (count == 0) {
+            null
+        } else {
+            updatedShare(statement, intervalMillis(count, requestsPerSecond))
+        }
+        statement.sharedAtChange = changeCount
+        statement.wasShared = true
+        return statement.share
+    }
+
+    private fun updatedShare(statement: Statement, intervalMillis: Double): LimitShare {
+        statement.share?.let { return it.also { share -> share.intervalMillis = intervalMillis } }
+        if (statement.wasShared) return LimitShare(intervalMillis, timer.nanoTime() + SETTLE_NANOS)
+        // Nodes learn of a new limit together, so no other one holds this share yet. A node that has just started may
+        // not know the other nodes.
+        return LimitShare(intervalMillis, maxOf(statement.atNanos, startedNanos + SETTLE_NANOS))
+    }
+
+    private fun intervalMillis(holders: Int, requestsPerSecond: Double): Double =
+        (holders * MILLIS_PER_SECOND / requestsPerSecond).coerceAtMost(PROBE_INTERVAL_MILLIS)
+
+    private fun ageMillis(statement: Statement): Long = (timer.nanoTime() - statement.atNanos) / NANOS_PER_MILLI
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Time in which all nodes learn that a node has joined, left or become a holder. */
+        const val SETTLE_NANOS = 3_000_000_000L
+
+        /** Longest time between two requests to a server with a limit near zero. */
+        const val PROBE_INTERVAL_MILLIS = 5_000.0
+
+        /** Time in which all nodes learn that a limit has ended. */
+        const val REPORT_END_MILLIS = 10_000L
+
+        /** Longer than the entry of a live server is missing after an outage of the platform's store. */
+        const val UNLISTED_MILLIS = 60_000L
+    }
+}
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
@@ -168,6 +168,46 @@
         expectThat(rejected).isLessThan(130)
     }
 
+    /** Servers that take one request per [intervalMillis] of this node, of which [savedCount] are saved up. */
+    private class Limited(private val servers: Set<String>, var savedCount: Int, val intervalMillis: Double) :
+        SendPermits {
+        override fun waitMillis(server: BackendServer, isSpare: Boolean): Double = when {
+            server.id.value !in servers -> 0.0
+            savedCount == 0 || isSpare -> intervalMillis
+            else -> 0.0
+        }
+
+        override fun recordSend(server: BackendServer) {
+            if (server.id.value in servers) savedCount--
+        }
+    }
+
+    @Test
+    fun `requests go to servers without a limit first, so that limits last through a jump in load`() {
+        val permits = Limited(setOf("limited"), savedCount = 3, intervalMillis = 500.0)
+        val limitedTracker = ServerTracker(timer, permits = permits)
+        limitedTracker.replace(listOf(server("limited"), server("free")))
+        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, Random(7))
+        limitedPlacement.preferredSlots = emptyMap()
+        latencies.recordDuration(SERVICE, DURATION_MILLIS.toDouble())
+        val placed = (1..12).map {
+            (limitedPlacement.place(request) as? Placement.Send)?.server?.id
+                ?.also { id -> limitedTracker.recordStart(id, isBatch = false) }?.value
+        }
+        expectThat(placed).isEqualTo(List(8) { "free" } + List(3) { "limited" } + null)
+    }
+
+    @Test
+    fun `a request that servers take no more is rejected until one takes the next`() {
+        val permits = Limited(setOf("a", "b"), savedCount = 0, intervalMillis = 500.0)
+        val limitedTracker = ServerTracker(timer, permits = permits)
+        limitedTracker.replace(listOf(server("a"), server("b")))
+        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, Random(7))
+        val retriesMillis = (1..100).map { (limitedPlacement.place(request) as Placement.Full).retryAfterMillis }
+        expectThat(retriesMillis.min()).isIn(500L..550L)
+        expectThat(retriesMillis.max()).isIn(700L..750L)
+    }
+
     /** A server that runs [slots] requests at a time and queues the others in order of arrival. */
     private class FifoServer(private val slots: Int) {
         private val requests = ArrayList<Pair<Long, Long>>()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -5,6 +5,7 @@
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.quarantine.PromptQuarantine
+import ragwortbarrow.core.serverlimit.ServerLimits
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.http.HttpAnswer
 import ragwortbarrow.http.HttpClientConnection
@@ -30,6 +31,7 @@
     private val pool: HttpClientPool,
     private val tracker: ServerTracker,
     private val quarantine: PromptQuarantine,
+    private val limits: ServerLimits,
     private val protocol: EntryProtocol,
     private val timer: TimerService,
 ) {
@@ -63,6 +65,8 @@
             val answer = connection.send(request, onProgress) { protocol.isResponseTo(it, requestId) }
             val httpResponse = awaitHead(answer, timeouts)
             val head = protocol.parseResponseHead(httpResponse)
+            // A misdirected request was answered by another server at the address.
+            if (!head.isMisdirected) limits.recordResponse(server, head.requestLimit)
             if (head.isLeaving) {
                 tracker.recordLeaving(server)
                 pool.drop(server.address)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -35,6 +35,8 @@
 import ragwortbarrow.core.placement.PreferredSlots
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.quarantine.PromptQuarantine
+import ragwortbarrow.core.serverlimit.LimitHolders
+import ragwortbarrow.core.serverlimit.ServerLimits
 import ragwortbarrow.core.store.IdempotentWriter
 import ragwortbarrow.core.store.KindWatcher
 import ragwortbarrow.core.store.ObjectKind
@@ -80,18 +82,20 @@
         settings.capacityMillicores,
     )
 
-    private val tracker = ServerTracker(timer)
+    private val members = FleetMembers(self, timer)
+    private val limitHolders = LimitHolders(members)
+    private val limits = ServerLimits(limitHolders, timer, log)
+    private val tracker = ServerTracker(timer, permits = limits)
     private val latencies = LatencyEstimates()
     private val rateLimiter = CustomerRateLimiter(timer, settings.rateWindowMillis)
     private val configuration = ConfigurationHolder(this.platform::parseConfiguration, log)
     private val servers = ServerDirectory(this.platform::parseBackendServer, tracker, timer, log)
     private val cancelledJobs = CancelledJobs(timer)
     private val quarantine = PromptQuarantine(timer, log)
-    private val members = FleetMembers(self, timer)
     private val channels = GrpcChannels(group = group, keepAliveSeconds = PEER_KEEPALIVE_SECONDS)
     private val connector = GrpcFleetConnector(channels)
     private val sharedState =
-        FleetStateExchange.SharedState(tracker, rateLimiter, configuration, servers, cancelledJobs, quarantine)
+        FleetStateExchange.SharedState(tracker, rateLimiter, configuration, servers, cancelledJobs, quarantine, limits)
     private val plan = RelayPlan(members, timer)
     private val stateExchange = FleetStateExchange(members, plan, connector, sharedState, timer, scope, log)
 
@@ -104,7 +108,7 @@
         onStrayBytes = ::recordStrayBytes,
         onConnect = { metrics.increment("connections_opened") },
     )
-    private val backendCalls = BackendCalls(pool, tracker, quarantine, protocol, timer)
+    private val backendCalls = BackendCalls(pool, tracker, quarantine, limits, protocol, timer)
     private val runner = JobRunner(
         JobRunner.Components(
             configuration,
@@ -157,6 +161,7 @@
         forwarder.onSlotNeeded = ::freeSlot
         servers.onServersChanged = { addresses ->
             pool.retain(addresses)
+            limits.retain(tracker.all())
             assignPreferredSlots()
         }
         tracker.onLeaving = {
@@ -221,6 +226,7 @@
         isDraining = true
         fun elapsedMillis() = (timer.nanoTime() - startNanos) / 1_000_000
         log.record("stopping", "in_flight" to callerHandler.inFlight, "connections" to callerServer.openConnections)
+        limitHolders.isLeaving = true
         stateExchange.announceLeaving()
         runner.stop()
         callerServer.startClosing()
@@ -383,6 +389,9 @@
         metrics.registerGauge("quarantined.parts", "Prompt parts that are refused because servers crashed on them") {
             quarantine.size
         }
+        metrics.registerGauge("limited.servers", "Backend servers that limit the requests of all nodes together") {
+            limits.size
+        }
         metrics.registerGauge("configuration.version", "Version in force, 0 if none") { configuration.version }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
@@ -6,6 +6,7 @@
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.jobs.BatchItem
 import ragwortbarrow.core.jobs.ItemResult
+import ragwortbarrow.core.serverlimit.RequestLimit
 import ragwortbarrow.http.HttpRequestMessage
 
 /** Decoded headers common to all requests of callers. */
@@ -47,6 +48,8 @@
     val isEventStream: Boolean,
     /** Whether the server states that it leaves and takes no new requests. */
     val isLeaving: Boolean = false,
+    /** The requests that the server takes from all nodes together. */
+    val requestLimit: RequestLimit = RequestLimit.None,
     /** Id of the request to which the server responds; null if it does not say. */
     val requestId: String? = null,
 ) {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -22,6 +22,7 @@
 import ragwortbarrow.core.peer.PeerError
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.quarantine.PromptQuarantine
+import ragwortbarrow.core.serverlimit.ServerLimits
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.time.monotonicMillis
 
@@ -48,17 +49,14 @@
         val servers: ServerDirectory,
         val cancelledJobs: CancelledJobs,
         val quarantine: PromptQuarantine,
+        val limits: ServerLimits,
     )
 
     /** The last state received from a node with which this one exchanges states. */
     private class PeerState(val state: NodeState, val atMillis: Long, val exchanges: Int)
 
-    /** The activity of a peer, with the ages of its evidence as of now. */
-    private fun PeerState.currentActivity(): ActivitySummary {
-        val activity = state.activity
-        val heldMillis = timer.monotonicMillis() - atMillis
-        return activity.copy(quarantineEvidence = activity.quarantineEvidence.aged(heldMillis))
-    }
+    /** The activity of a peer, with the ages of its reports as of now. */
+    private fun PeerState.currentActivity(): ActivitySummary = state.activity.aged(timer.monotonicMillis() - atMillis)
 
     private val peerStates = HashMap<VmId, PeerState>()
     private val exchangesInFlight = HashSet<VmId>()
@@ -240,6 +238,7 @@
         shared.tracker.updatePeer(vm, activity.loads, activity.outcomes)
         shared.rateLimiter.updatePeer(vm, activity.usage)
         shared.quarantine.merge(activity.quarantineEvidence)
+        shared.limits.merge(activity.serverLimits)
         if (state.needsBatchSlot) {
             onSlotsNeeded()
             forwardSlotRequest(state)
@@ -301,6 +300,7 @@
             takenOverJobs = takenOverJobs(),
             acceptedJobs = recentlyAcceptedJobs(),
             quarantineEvidence = shared.quarantine.evidence(),
+            serverLimits = shared.limits.reports(),
         )
         // A relay sends all activity to its own nodes, and only the activity of its nodes to others.
         val relayedStates = peerStates.filter { (vm, last) -> vm != to && (isRelayed || last.state.isRelayed) }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
@@ -50,8 +50,9 @@
         )
         var isAlive = true
         var partition = 0
-        val tracker = ServerTracker(timer).apply { replace(listOf(server)) }
         val members = FleetMembers(self, timer)
+        val limits = serverLimitsOf(timer, members)
+        val tracker = ServerTracker(timer, permits = limits).apply { replace(listOf(server)) }
         val plan = RelayPlan(members, timer)
         val takenOver = ArrayList<String>()
         val accepted = HashMap<String, JobHolder>()
@@ -61,7 +62,7 @@
             members,
             plan,
             FleetConnector { address -> Peer(nodes.getValue(address), this) },
-            sharedStateOf(tracker, timer, quarantine),
+            sharedStateOf(tracker, timer, quarantine, limits),
             timer,
             CoroutineScope(Dispatchers.Unconfined),
             DecisionLog.NONE,
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -19,12 +19,14 @@
 import ragwortbarrow.core.quarantine.CrashReport
 import ragwortbarrow.core.quarantine.QuarantineEvidence
 import ragwortbarrow.core.quarantine.QuarantineReport
+import ragwortbarrow.core.serverlimit.ServerLimitReport
 import ragwortbarrow.fleet.v1.AcceptedJob
 import ragwortbarrow.fleet.v1.AnsweredPart
 import ragwortbarrow.fleet.v1.Member
 import ragwortbarrow.fleet.v1.PromptCrash
 import ragwortbarrow.fleet.v1.QuarantinedPart
 import ragwortbarrow.fleet.v1.ResultsReply
+import ragwortbarrow.fleet.v1.ServerLimit
 import ragwortbarrow.fleet.v1.ServerLoad
 import ragwortbarrow.fleet.v1.CustomerUse as WireCustomerUse
 import ragwortbarrow.fleet.v1.Node as WireNode
@@ -75,6 +77,7 @@
                 .setLastCrashAgeMillis(report.lastCrashAgeMillis).build()
         },
     )
+    .addAllServerLimits(activity.serverLimits.map { (server, report) -> report.toWire(server) })
     .setRelayed(isRelayed)
     .setUrgent(needsBatchSlot)
     .setPlatformAnswers(isStoreReachable)
@@ -100,6 +103,7 @@
         takenOverJobs = takenJobsList.toList(),
         acceptedJobs = acceptedJobsList.associate { it.job to JobHolder(it.vm, it.incarnation) },
         quarantineEvidence = quarantineEvidence(),
+        serverLimits = serverLimitsList.associate { BackendServerId(it.server) to it.toCore() },
     ),
     members = membersList.map { it.toCore() },
     cancelledJobs = endedJobsList.toList(),
@@ -108,6 +112,19 @@
     isStoreReachable = platformAnswers,
 )
 
+private fun ServerLimitReport.toWire(server: BackendServerId): ServerLimit {
+    val builder = ServerLimit.newBuilder().setServer(server.value).setAgeMillis(ageMillis)
+    requestsPerSecond?.let { builder.setRequestsPerSecond(it) }
+    incarnation?.let { builder.setIncarnation(it) }
+    return builder.build()
+}
+
+private fun ServerLimit.toCore() = ServerLimitReport(
+    requestsPerSecond = if (hasRequestsPerSecond()) requestsPerSecond else null,
+    incarnation = if (hasIncarnation()) incarnation else null,
+    ageMillis = ageMillis,
+)
+
 private fun CrashReport.toWire(): PromptCrash = PromptCrash.newBuilder()
     .setServer(server.value)
     .setRequest(requestId)
