Keep servers that a list lacks only after the store failed

Cause: after every list that lacked a server the node kept it for 2.2 s, although entries lapse only in an outage of the store. A list is also read after a 410, after a watch that was cut off, and by a node that begins to watch. Each further list within the 2.2 s started the wait anew, without end.

What callers saw: requests went to a server whose removal the store had acknowledged seconds before (rule DRAIN; such a server serves on for drain_ms and a little longer).

Change: the platform tells when a call to the store last failed (no response or 503; a watch that is cut off is none). A server that a list lacks is kept until that failure is 3 s old, and is removed at once if there was none. The time is fixed by the failure, so further lists don't extend it, while another outage does. `backend_servers` logs how many are kept.

--- a/core/src/main/kotlin/ragwortbarrow/core/keys/KeySync.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/keys/KeySync.kt
@@ -67,9 +67,9 @@
         scope = scope,
         isElected = election::isWatcher,
         onChanged = { mergeAndPush(KeyUpdate(grants = listOfNotNull(grantOf(it)))) },
-        onListed = { objects ->
+        onListed = { page ->
             grantsListed = true
-            mergeAndPush(KeyUpdate(grants = objects.mapNotNull(::grantOf)), complete = tombstonesListed)
+            mergeAndPush(KeyUpdate(grants = page.items.mapNotNull(::grantOf)), complete = tombstonesListed)
         },
         decisionLog = decisionLog,
         random = random,
@@ -81,9 +81,9 @@
         scope = scope,
         isElected = election::isWatcher,
         onChanged = { mergeTombstones(listOf(it)) },
-        onListed = { objects ->
+        onListed = { page ->
             tombstonesListed = true
-            mergeTombstones(objects, complete = grantsListed)
+            mergeTombstones(page.items, complete = grantsListed)
         },
         onConfirmed = { askedAtNanos ->
             onPlatformConfirmed(askedAtNanos)
--- a/core/src/main/kotlin/ragwortbarrow/core/membership/LeavingVmWatcher.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/membership/LeavingVmWatcher.kt
@@ -27,7 +27,7 @@
         scope = scope,
         isElected = { true },
         onChanged = { update(it) },
-        onListed = { objects -> leaving.set(objects.mapNotNull { it.leavingVm() }.toSet()) },
+        onListed = { page -> leaving.set(page.items.mapNotNull { it.leavingVm() }.toSet()) },
         decisionLog = decisionLog,
         // Every node watches this list; with 410 nodes this makes 41 reads per second.
         confirmMillis = 10_000,
--- a/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
@@ -28,7 +28,7 @@
     private val scope: CoroutineScope,
     private val isElected: () -> Boolean,
     private val onChanged: suspend (StoredObject) -> Unit,
-    private val onListed: suspend (List<StoredObject>) -> Unit = { objects -> objects.forEach { onChanged(it) } },
+    private val onListed: suspend (ObjectPage) -> Unit = { page -> page.items.forEach { onChanged(it) } },
     private val onRemoved: suspend (name: String, version: Long) -> Unit = { _, _ -> },
     private val onConfirmed: suspend (askedAtNanos: Long) -> Unit = {},
     private val decisionLog: DecisionLog = DecisionLog.NONE,
@@ -70,10 +70,10 @@
     /** Lists and watches until the watch fails or this node is no longer elected; returns the reason. */
     private suspend fun listAndWatch(): String = coroutineScope {
         val askedAtNanos = timer.nanoTime()
-        val (objects, version) = store.listAll(kind).getOrElse { return@coroutineScope it.message }
-        onListed(objects)
+        val listed = store.listAll(kind).getOrElse { return@coroutineScope it.message }
+        onListed(listed)
         onConfirmed(askedAtNanos)
-        val progress = WatchProgress(version)
+        val progress = WatchProgress(listed.listVersion)
         val watch = launch { watch(progress) }
         val reason = monitor(progress)
         watch.cancel()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -38,6 +38,7 @@
 import ragwortbarrow.core.store.IdempotentWriter
 import ragwortbarrow.core.store.KindWatcher
 import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectPage
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.store.listAll
@@ -84,7 +85,13 @@
     private val latencies = LatencyEstimates()
     private val rateLimiter = CustomerRateLimiter(timer, settings.rateWindowMillis)
     private val configuration = ConfigurationHolder(this.platform::parseConfiguration, log)
-    private val servers = ServerDirectory(this.platform::parseBackendServer, tracker, timer, log)
+    private val servers = ServerDirectory(
+        this.platform::parseBackendServer,
+        tracker,
+        timer,
+        log,
+        millisSinceStoreFailure = { this.platform.millisSinceStoreFailure },
+    )
     private val cancelledJobs = CancelledJobs(timer)
     private val quarantine = PromptQuarantine(timer, log)
     private val members = FleetMembers(self, timer)
@@ -144,9 +151,9 @@
     }
     private var isDraining = false
     private val watchers = listOf(
-        createWatcher(ObjectKind.PUBLISHED_CONFIGURATIONS, { it.forEach(::applyConfiguration) }, ::applyConfiguration),
-        createWatcher(ObjectKind.BACKEND_SERVERS, servers::replaceAll, servers::update, servers::remove),
-        createWatcher(ObjectKind.VM_RETIREMENTS, { it.forEach(::confirmRetirement) }, ::confirmRetirement),
+        createWatcher(ObjectKind.PUBLISHED_CONFIGURATIONS, ::applyConfiguration),
+        createWatcher(ObjectKind.BACKEND_SERVERS, servers::update, servers::replaceAll, servers::remove),
+        createWatcher(ObjectKind.VM_RETIREMENTS, ::confirmRetirement),
     )
 
     private val isReady: Boolean get() = !isDraining && configuration.table != null && tracker.all().isNotEmpty()
@@ -286,8 +293,8 @@
 
     private fun createWatcher(
         kind: ObjectKind,
-        onListed: (List<StoredObject>) -> Unit,
         onChanged: (StoredObject) -> Unit,
+        onListed: (ObjectPage) -> Unit = { it.items.forEach(onChanged) },
         onRemoved: (String, Long) -> Unit = { _, _ -> },
     ) = KindWatcher(
         kind = kind,
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryPlatform.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryPlatform.kt
@@ -15,6 +15,9 @@
     /** False while calls to the store get no reply. */
     val isStoreReachable: Boolean
 
+    /** Time since a call to the store last failed because the store did not serve it; null if none has. */
+    val millisSinceStoreFailure: Long?
+
     /** Throws [IllegalArgumentException] if [document] is not a valid configuration. */
     fun parseConfiguration(document: String): RoutingTable
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -11,26 +11,32 @@
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectPage
 import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.store.storeJson
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.monotonicMillis
 
 /**
- * The backend servers registered with the platform. After a platform outage the list may lack live servers that have
- * not registered again yet; they are kept for [retentionMillis].
+ * The backend servers registered with the platform. After an outage of the platform's store the list may lack live
+ * servers that have not registered again yet; they are kept until the last failed call to the store, whose age is
+ * [millisSinceStoreFailure], is [retentionMillis] old. Without an outage a server that is not listed has left.
  */
 class ServerDirectory(
     private val decode: (StoredObject) -> BackendServer?,
     private val tracker: ServerTracker,
     private val timer: TimerService,
     private val log: DecisionLog,
-    private val retentionMillis: Long = 2_200,
+    private val millisSinceStoreFailure: () -> Long? = { null },
+    private val retentionMillis: Long = 3_000,
 ) {
     /** Called with the addresses of all servers after each change. */
     var onServersChanged: (addresses: Set<String>) -> Unit = {}
 
     private val entries = LinkedHashMap<String, StoredObject>()
-    private var listingCount = 0
+
+    /** Servers that the last list lacked, with the time until which they are kept. */
+    private val keptUntilMillis = HashMap<String, Long>()
 
     /** The platform's revision of the newest known change. */
     var revision: Long = 0
@@ -53,31 +59,52 @@
             ).toString(),
         )
 
-    /** Replaces all entries by a complete list from the platform; missing servers are removed after a delay. */
-    fun replaceAll(objects: List<StoredObject>) {
-        val listing = ++listingCount
-        val present = objects.mapTo(HashSet()) { it.name }
-        val missing = entries.keys.filter { it !in present }
-        objects.forEach { put(it) }
+    /** Replaces all entries by a complete list from the platform, except those that are kept after an outage. */
+    fun replaceAll(list: ObjectPage) {
+        val present = list.items.mapTo(HashSet()) { it.name }
+        val missing = entries.keys.filter { it !in present && it !in keptUntilMillis }
+        val leftMillis = retentionLeftMillis()
+        keptUntilMillis.keys.removeAll(present)
+        list.items.forEach { put(it) }
+        if (leftMillis > 0) keep(missing, leftMillis) else entries.keys.removeAll(missing.toSet())
         publish("listed")
         if (missing.isEmpty()) return
-        timer.once(retentionMillis) {
-            if (listing == listingCount) missing.filter { entries[it]?.version == 0L }.forEach { remove(it, revision) }
-        }
-        for (name in missing) entries.computeIfPresent(name) { _, entry -> entry.copy(version = 0L) }
         log.record(
             "backend_servers_missing",
             "servers" to missing.joinToString(",", transform = ::loggedName),
-            "kept_ms" to retentionMillis,
+            "kept_ms" to leftMillis,
         )
     }
 
+    private fun retentionLeftMillis(): Long =
+        millisSinceStoreFailure()?.let { (retentionMillis - it).coerceAtLeast(0) } ?: 0
+
+    private fun keep(names: Collection<String>, millis: Long) {
+        if (names.isEmpty()) return
+        for (name in names) keptUntilMillis[name] = timer.monotonicMillis() + millis
+        timer.once(millis) { removeExpired() }
+    }
+
+    /** Another outage since then gives servers time again. */
+    private fun removeExpired() {
+        val nowMillis = timer.monotonicMillis()
+        val expired = keptUntilMillis.filterValues { it <= nowMillis }.keys.toSet()
+        if (expired.isEmpty()) return
+        val leftMillis = retentionLeftMillis()
+        if (leftMillis > 0) return keep(expired, leftMillis)
+        keptUntilMillis.keys.removeAll(expired)
+        entries.keys.removeAll(expired)
+        publish("removed " + expired.joinToString(",", transform = ::loggedName))
+    }
+
     fun update(entry: StoredObject) {
+        keptUntilMillis.remove(entry.name)
         put(entry)
         publish("changed ${loggedName(entry.name)}")
     }
 
     fun remove(name: String, atRevision: Long) {
+        keptUntilMillis.remove(name)
         if (entries.remove(name) == null) return
         revision = maxOf(revision, atRevision)
         publish("removed ${loggedName(name)}")
@@ -88,6 +115,7 @@
         if (snapshot.revision <= revision) return
         val list = storeJson.parseToJsonElement(snapshot.document) as JsonArray
         entries.clear()
+        keptUntilMillis.clear()
         for (element in list) {
             val entry = element as JsonObject
             val name = entry.getValue("name").jsonPrimitive.content
@@ -118,6 +146,7 @@
             "reason" to reason,
             "revision" to revision,
             "entries" to entries.size,
+            "kept" to keptUntilMillis.size,
             "usable" to servers.count { !it.isDraining },
         )
     }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -8,11 +8,15 @@
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectPage
 import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.time.ManualTimerService
+import ragwortbarrow.core.time.monotonicMillis
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 
@@ -20,8 +24,25 @@
     private val timer = ManualTimerService()
     private val log = ArrayList<String>()
 
-    private fun directory(tracker: ServerTracker) =
-        ServerDirectory(::decode, tracker, timer, { event, fields -> log += "$event $fields" })
+    private var millisOfStoreFailure: Long? = null
+
+    private fun directory(tracker: ServerTracker) = ServerDirectory(
+        ::decode,
+        tracker,
+        timer,
+        { event, fields -> log += "$event $fields" },
+        { millisOfStoreFailure?.let { timer.monotonicMillis() - it } },
+    )
+
+    private fun failStore() {
+        millisOfStoreFailure = timer.monotonicMillis()
+    }
+
+    private fun list(revision: Long, vararg entries: StoredObject) = ObjectPage(entries.toList(), revision)
+
+    private fun server(name: String, version: Long) = entry(name, version, "address" to "10.0.0.1:80")
+
+    private fun ServerTracker.names() = all().map { it.id.value }
 
     private fun decode(entry: StoredObject): BackendServer? {
         val address = (entry.spec["address"] as? JsonPrimitive)?.content ?: return null
@@ -39,7 +60,7 @@
     @Test
     fun `an entry that names no server is not passed on to peers, and the revision is`() {
         val watching = directory(ServerTracker(timer))
-        watching.replaceAll(listOf(entry("a", 3, "address" to "10.0.0.1:80")))
+        watching.replaceAll(list(3, entry("a", 3, "address" to "10.0.0.1:80")))
         watching.update(entry("odd", 4, "note" to "x".repeat(5_000_000)))
         expectThat(watching.snapshot.document.length).isLessThan(1_000)
         val tracker = ServerTracker(timer)
@@ -54,9 +75,62 @@
         val directory = directory(ServerTracker(timer))
         val name = "odd".repeat(100_000)
         for (version in 1L..20L) directory.update(entry(name, version))
-        directory.replaceAll(listOf(entry(name, 21)))
+        directory.replaceAll(list(21, entry(name, 21)))
         val lines = log.filter { it.startsWith("backend_server_unusable") }
         expectThat(lines).hasSize(1)
         expectThat(log.maxOf { it.length }).isLessThan(1_000)
     }
+
+    /** The server may go on serving, so that its own answers don't show that it has left. */
+    @Test
+    fun `a server that is missing in a list of a store that did not fail is removed at once`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2), server("b", 3)))
+        directory.replaceAll(list(4, server("b", 3)))
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
+    @Test
+    fun `a server that is missing after an outage is kept as long as it may take to register again`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2), server("b", 3)))
+        failStore()
+        timer.advance(500)
+        directory.replaceAll(list(5))
+        timer.advance(2_000)
+        directory.update(server("b", 6))
+        expectThat(tracker.names()).containsExactlyInAnyOrder("a", "b")
+        timer.advance(1_000)
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
+    @Test
+    fun `repeated lists do not keep a missing server`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2), server("b", 3)))
+        failStore()
+        repeat(3) {
+            timer.advance(1_000)
+            directory.replaceAll(list(4L + it, server("b", 3)))
+        }
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
+    @Test
+    fun `a server that is missing when the store fails again is kept until its return`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2)))
+        failStore()
+        directory.replaceAll(list(4))
+        timer.advance(2_000)
+        failStore()
+        timer.advance(2_500)
+        expectThat(tracker.names()).containsExactly("a")
+        timer.advance(500)
+        expectThat(tracker.names()).isEmpty()
+    }
 }
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -151,6 +151,12 @@
         monitor.notifyAll()
     }
 
+    /** Removes an object and drops the history, so that watches get 410 and no event of the removal. */
+    fun removeUnseen(kind: String, name: String) = synchronized(monitor) {
+        delete(kind, name)
+        dropHistory()
+    }
+
     private fun handle(exchange: HttpExchange) {
         calls.incrementAndGet()
         if (responseDelayMillis > 0) LockSupport.parkNanos(responseDelayMillis * NANOS_PER_MILLI)
