Ignore changes of servers that precede what is known

A change that the node's own watch delivered later, or a list that it had asked for earlier, brought it back as ready until the next event. A removal took away an entry with a newer revision, and the newest entry of a later page of a list counted as the revision of the whole list.

What callers saw: a node that had been cut off from the store asks a peer and then gets the events that were still on their way; requests in between go to a server that has left (DRAIN).

Older lists, older changes of entries that it does not hold, and removals older than an entry are ignored, and a list counts up to its own revision.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -38,10 +38,13 @@
     /** Servers that the last list lacked, with the time until which they are kept. */
     private val keptUntilMillis = HashMap<String, Long>()
 
-    /** The platform's revision of the newest known change. */
+    /** The platform's revision of the newest known change; the entries lack no change before it. */
     var revision: Long = 0
         private set
 
+    /** The revision of the last list or snapshot. An entry that it lacked was removed by then, or never existed. */
+    private var completeRevision = 0L
+
     /** The usable entries as sent to peers with an older revision. */
     val snapshot: Snapshot
         get() = Snapshot(
@@ -61,11 +64,19 @@
 
     /** Replaces all entries by a complete list from the platform, except those that are kept after an outage. */
     fun replaceAll(list: ObjectPage) {
+        if (list.listVersion < completeRevision) {
+            log.record("backend_servers_outdated", "revision" to revision, "list_revision" to list.listVersion)
+            return
+        }
+        completeRevision = list.listVersion
         val present = list.items.mapTo(HashSet()) { it.name }
         val missing = entries.keys.filter { it !in present && it !in keptUntilMillis }
         val leftMillis = retentionLeftMillis()
         keptUntilMillis.keys.removeAll(present)
         list.items.forEach { put(it) }
+        // Later pages of a list may hold newer entries, but not all changes between the first page and these.
+        val newest = list.items.maxOfOrNull { it.version } ?: 0
+        revision = maxOf(revision, minOf(newest, list.listVersion))
         if (leftMillis > 0) keep(missing, leftMillis) else entries.keys.removeAll(missing.toSet())
         publish("listed")
         if (missing.isEmpty()) return
@@ -97,15 +108,21 @@
         publish("removed " + expired.joinToString(",", transform = ::loggedName))
     }
 
+    /** Applies a change, unless it precedes what is known: a watch may deliver it later than a peer's snapshot. */
     fun update(entry: StoredObject) {
+        val known = entries[entry.name]?.takeIf { entry.name !in keptUntilMillis }
+        if (entry.version <= (known?.version ?: completeRevision)) return
         keptUntilMillis.remove(entry.name)
         put(entry)
+        revision = maxOf(revision, entry.version)
         publish("changed ${loggedName(entry.name)}")
     }
 
     fun remove(name: String, atRevision: Long) {
+        val known = entries[name] ?: return
+        if (known.version > atRevision) return
         keptUntilMillis.remove(name)
-        if (entries.remove(name) == null) return
+        entries.remove(name)
         revision = maxOf(revision, atRevision)
         publish("removed ${loggedName(name)}")
     }
@@ -124,6 +141,7 @@
                 StoredObject(ObjectKind.BACKEND_SERVERS, name, version, entry.getValue("spec") as JsonObject)
         }
         revision = snapshot.revision
+        completeRevision = snapshot.revision
         publish("taken from a peer")
     }
 
@@ -131,7 +149,6 @@
         val previous = entries[entry.name]
         if (previous != null && previous.version > entry.version) return
         entries[entry.name] = entry
-        revision = maxOf(revision, entry.version)
         if (decode(entry) == null && (previous == null || decode(previous) != null)) {
             log.record("backend_server_unusable", "server" to loggedName(entry.name), "revision" to entry.version)
         }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -133,4 +133,50 @@
         timer.advance(500)
         expectThat(tracker.names()).isEmpty()
     }
+
+    /** A node whose watch was cut off gets its events again when it is back, after it has asked a peer. */
+    @Test
+    fun `a late event does not bring back a server that a peer's newer list lacks`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2), server("b", 3)))
+        directory.tryApply(snapshotOf(list(3, server("a", 2), server("b", 3))) { remove("a", 9) })
+        directory.update(server("a", 4))
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
+    @Test
+    fun `a list that was read before a peer's snapshot does not bring back a server`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.tryApply(snapshotOf(list(3, server("a", 2), server("b", 3))) { remove("a", 9) })
+        directory.replaceAll(list(5, server("a", 2), server("b", 3)))
+        expectThat(tracker.names()).containsExactly("b")
+        expectThat(directory.revision).isEqualTo(9)
+    }
+
+    @Test
+    fun `a late removal does not remove a server that has registered again`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(8, server("a", 8)))
+        directory.remove("a", 6)
+        expectThat(tracker.names()).containsExactly("a")
+    }
+
+    /** The watch begins at the revision of the first page, and delivers the removal. */
+    @Test
+    fun `a removal is applied although a later page of the list had a newer entry`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(5, server("a", 2), server("b", 9)))
+        expectThat(directory.revision).isEqualTo(5)
+        directory.remove("a", 7)
+        directory.update(server("c", 8))
+        expectThat(tracker.names()).containsExactlyInAnyOrder("b", "c")
+    }
+
+    /** The snapshot of a peer that read [list], after the [changes] to it. */
+    private fun snapshotOf(list: ObjectPage, changes: ServerDirectory.() -> Unit = {}) =
+        directory(ServerTracker(timer)).apply { replaceAll(list) }.apply(changes).snapshot
 }
