Pass removed and kept servers on to peers

The receiver kept them without a time; when the sender gave them up its revision did not grow, so the receiver did not ask again. A removal that only a list showed did not raise the revision either, and peers never learned of it.

A node that keeps a server itself does so also when it takes over a list without it. A list that lacks a server counts up to the list's own revision.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -2,9 +2,10 @@
 
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.longOrNull
+import kotlinx.serialization.json.put
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
@@ -47,20 +48,18 @@
 
     /** The usable entries as sent to peers with an older revision. */
     val snapshot: Snapshot
-        get() = Snapshot(
-            revision,
-            JsonArray(
-                entries.values.filter { decode(it) != null }.map {
-                    JsonObject(
-                        mapOf(
-                            "name" to JsonPrimitive(it.name),
-                            "version" to JsonPrimitive(it.version),
-                            "spec" to it.spec,
-                        ),
-                    )
-                },
-            ).toString(),
-        )
+        get() {
+            val nowMillis = timer.monotonicMillis()
+            val usable = entries.values.filter { decode(it) != null }
+            return Snapshot(revision, JsonArray(usable.map { encode(it, nowMillis) }).toString())
+        }
+
+    private fun encode(entry: StoredObject, nowMillis: Long) = buildJsonObject {
+        put("name", entry.name)
+        put("version", entry.version)
+        put("spec", entry.spec)
+        keptUntilMillis[entry.name]?.let { put(KEPT_MILLIS, it - nowMillis) }
+    }
 
     /** Replaces all entries by a complete list from the platform, except those that are kept after an outage. */
     fun replaceAll(list: ObjectPage) {
@@ -74,8 +73,9 @@
         val leftMillis = retentionLeftMillis()
         keptUntilMillis.keys.removeAll(present)
         list.items.forEach { put(it) }
+        // Peers whose watch missed a removal learn of it from a newer revision.
+        val newest = if (missing.isEmpty()) list.items.maxOfOrNull { it.version } ?: 0 else list.listVersion
         // Later pages of a list may hold newer entries, but not all changes between the first page and these.
-        val newest = list.items.maxOfOrNull { it.version } ?: 0
         revision = maxOf(revision, minOf(newest, list.listVersion))
         if (leftMillis > 0) keep(missing, leftMillis) else entries.keys.removeAll(missing.toSet())
         publish("listed")
@@ -127,24 +127,39 @@
         publish("removed ${loggedName(name)}")
     }
 
-    /** Adopts a peer's list if it is newer, while this node's own watch is behind. */
+    /**
+     * Adopts a peer's list if it is newer, while this node's own watch is behind. A server that either node keeps after
+     * an outage stays for the rest of its time, unless this node knows that it has left.
+     */
     fun tryApply(snapshot: Snapshot) {
         if (snapshot.revision <= revision) return
-        val list = storeJson.parseToJsonElement(snapshot.document) as JsonArray
-        entries.clear()
-        keptUntilMillis.clear()
+        val list = (storeJson.parseToJsonElement(snapshot.document) as JsonArray).map { it as JsonObject }
+        val hadEntries = revision > 0
+        val before = LinkedHashMap(entries)
+        entries.keys.retainAll(keptUntilMillis.keys)
         for (element in list) {
-            val entry = element as JsonObject
-            val name = entry.getValue("name").jsonPrimitive.content
-            val version = entry.getValue("version").jsonPrimitive.longOrNull ?: 0
-            entries[name] =
-                StoredObject(ObjectKind.BACKEND_SERVERS, name, version, entry.getValue("spec") as JsonObject)
+            val entry = decodeSnapshotEntry(element)
+            val keptMillis = element[KEPT_MILLIS]?.jsonPrimitive?.longOrNull
+            if (keptMillis == null) {
+                entries[entry.name] = entry
+                keptUntilMillis.remove(entry.name)
+            } else if (entry.name !in keptUntilMillis && (entry.name in before || !hadEntries)) {
+                entries[entry.name] = entry
+                keep(listOf(entry.name), keptMillis.coerceIn(0, retentionMillis))
+            }
         }
         revision = snapshot.revision
         completeRevision = snapshot.revision
         publish("taken from a peer")
     }
 
+    private fun decodeSnapshotEntry(entry: JsonObject) = StoredObject(
+        ObjectKind.BACKEND_SERVERS,
+        entry.getValue("name").jsonPrimitive.content,
+        entry.getValue("version").jsonPrimitive.longOrNull ?: 0,
+        entry.getValue("spec") as JsonObject,
+    )
+
     private fun put(entry: StoredObject) {
         val previous = entries[entry.name]
         if (previous != null && previous.version > entry.version) return
@@ -167,4 +182,9 @@
             "usable" to servers.count { !it.isDraining },
         )
     }
+
+    private companion object {
+        /** How much longer an entry of a snapshot is kept. */
+        const val KEPT_MILLIS = "keptMillis"
+    }
 }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -176,6 +176,59 @@
         expectThat(tracker.names()).containsExactlyInAnyOrder("b", "c")
     }
 
+    /** The peer's revision does not grow when it gives the server up, so that this node does not ask it again. */
+    @Test
+    fun `a node gives up the servers that it took over from a peer that kept them`() {
+        val tracker = ServerTracker(timer)
+        val watching = directory(ServerTracker(timer))
+        watching.replaceAll(list(3, server("a", 2), server("b", 3)))
+        failStore()
+        watching.replaceAll(list(5, server("b", 3)))
+        val snapshot = watching.snapshot
+        millisOfStoreFailure = null
+        val following = directory(tracker)
+        following.tryApply(snapshot)
+        expectThat(tracker.names()).containsExactlyInAnyOrder("a", "b")
+        timer.advance(3_000)
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
+    @Test
+    fun `a server that has left does not come back with a peer that keeps it`() {
+        val tracker = ServerTracker(timer)
+        val following = directory(tracker)
+        following.replaceAll(list(3, server("a", 2), server("b", 3)))
+        following.remove("a", 4)
+        failStore()
+        following.tryApply(snapshotOf(list(3, server("a", 2), server("b", 3))) { replaceAll(list(5, server("b", 3))) })
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
+    @Test
+    fun `a server that a node keeps after an outage stays when it takes over the list of a peer`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2), server("b", 3)))
+        failStore()
+        directory.replaceAll(list(5, server("b", 3)))
+        directory.tryApply(snapshotOf(list(7, server("b", 7))))
+        expectThat(tracker.names()).containsExactlyInAnyOrder("a", "b")
+        timer.advance(3_000)
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
+    @Test
+    fun `a server that is missing in a list is removed at peers that take the list over`() {
+        val tracker = ServerTracker(timer)
+        val watching = directory(ServerTracker(timer))
+        val following = directory(tracker)
+        watching.replaceAll(list(3, server("a", 2), server("b", 3)))
+        following.tryApply(watching.snapshot)
+        watching.replaceAll(list(5, server("b", 3)))
+        following.tryApply(watching.snapshot)
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
     /** The snapshot of a peer that read [list], after the [changes] to it. */
     private fun snapshotOf(list: ObjectPage, changes: ServerDirectory.() -> Unit = {}) =
         directory(ServerTracker(timer)).apply { replaceAll(list) }.apply(changes).snapshot
