--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -2,108 +2,168 @@
 
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.longOrNull
+import kotlinx.serialization.json.put
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectPage
 import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.store.storeJson
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.monotonicMillis
 
 /**
- * The backend servers registered with the platform. After a platform outage the list may lack live servers that have
- * not registered again yet; they are kept for [retentionMillis].
+ * The backend servers registered with the platform. After an outage of the platform's store the list may lack live
+ * servers that have not registered again yet; they are kept until the last failed call to the store, whose age is
+ * [millisSinceStoreFailure], is [retentionMillis] old. Without an outage a server that is not listed has left.
  */
 class ServerDirectory(
     private val decode: (StoredObject) -> BackendServer?,
     private val tracker: ServerTracker,
     private val timer: TimerService,
     private val log: DecisionLog,
-    private val retentionMillis: Long = 2_200,
+    private val millisSinceStoreFailure: () -> Long? = { null },
+    private val retentionMillis: Long = 3_000,
 ) {
     /** Called with the addresses of all servers after each change. */
     var onServersChanged: (addresses: Set<String>) -> Unit = {}
 
     private val entries = LinkedHashMap<String, StoredObject>()
-    private var listingCount = 0
 
-    /** The platform's revision of the newest known change. */
+    /** Servers that the last list lacked, with the time until which they are kept. */
+    private val keptUntilMillis = HashMap<String, Long>()
+
+    /** The platform's revision of the newest known change; the entries lack no change before it. */
     var revision: Long = 0
         private set
 
+    /** The revision of the last list or snapshot. An entry that it lacked was removed by then, or never existed. */
+    private var completeRevision = 0L
+
     /** The usable entries as sent to peers with an older revision. */
     val snapshot: Snapshot
-        get() = Snapshot(
-            revision,
-            JsonArray(
-                entries.values.filter { decode(it) != null }.map {
-                    JsonObject(
-                        mapOf(
-                            "name" to JsonPrimitive(it.name),
-                            "version" to JsonPrimitive(it.version),
-                            "spec" to it.spec,
-                        ),
-                    )
-                },
-            ).toString(),
-        )
+        get() {
+            val nowMillis = timer.monotonicMillis()
+            val usable = entries.values.filter { decode(it) != null }
+            return Snapshot(revision, JsonArray(usable.map { encode(it, nowMillis) }).toString())
+        }
 
-    /** Replaces all entries by a complete list from the platform; missing servers are removed after a delay. */
-    fun replaceAll(objects: List<StoredObject>) {
-        val listing = ++listingCount
-        val present = objects.mapTo(HashSet()) { it.name }
-        val missing = entries.keys.filter { it !in present }
-        objects.forEach { put(it) }
+    private fun encode(entry: StoredObject, nowMillis: Long) = buildJsonObject {
+        put("name", entry.name)
+        put("version", entry.version)
+        put("spec", entry.spec)
+        keptUntilMillis[entry.name]?.let { put(KEPT_MILLIS, it - nowMillis) }
+    }
+
+    /** Replaces all entries by a complete list from the platform, except those that are kept after an outage. */
+    fun replaceAll(list: ObjectPage) {
+        if (list.listVersion < completeRevision) {
+            log.record("backend_servers_outdated", "revision" to revision, "list_revision" to list.listVersion)
+            return
+        }
+        completeRevision = list.listVersion
+        val present = list.items.mapTo(HashSet()) { it.name }
+        val missing = entries.keys.filter { it !in present && it !in keptUntilMillis }
+        val leftMillis = retentionLeftMillis()
+        keptUntilMillis.keys.removeAll(present)
+        list.items.forEach { put(it) }
+        // Peers whose watch missed a removal learn of it from a newer revision.
+        val newest = if (missing.isEmpty()) list.items.maxOfOrNull { it.version } ?: 0 else list.listVersion
+        // Later pages of a list may hold newer entries, but not all changes between the first page and these.
+        revision = maxOf(revision, minOf(newest, list.listVersion))
+        if (leftMillis > 0) keep(missing, leftMillis) else entries.keys.removeAll(missing.toSet())
         publish("listed")
         if (missing.isEmpty()) return
-        timer.once(retentionMillis) {
-            if (listing == listingCount) missing.filter { entries[it]?.version == 0L }.forEach { remove(it, revision) }
-        }
-        for (name in missing) entries.computeIfPresent(name) { _, entry -> entry.copy(version = 0L) }
         log.record(
             "backend_servers_missing",
             "servers" to missing.joinToString(",", transform = ::loggedName),
-            "kept_ms" to retentionMillis,
+            "kept_ms" to leftMillis,
         )
     }
 
+    private fun retentionLeftMillis(): Long =
+        millisSinceStoreFailure()?.let { (retentionMillis - it).coerceAtLeast(0) } ?: 0
+
+    private fun keep(names: Collection<String>, millis: Long) {
+        if (names.isEmpty()) return
+        for (name in names) keptUntilMillis[name] = timer.monotonicMillis() + millis
+        timer.once(millis) { removeExpired() }
+    }
+
+    /** Another outage since then gives servers time again. */
+    private fun removeExpired() {
+        val nowMillis = timer.monotonicMillis()
+        val expired = keptUntilMillis.filterValues { it <= nowMillis }.keys.toSet()
+        if (expired.isEmpty()) return
+        val leftMillis = retentionLeftMillis()
+        if (leftMillis > 0) return keep(expired, leftMillis)
+        keptUntilMillis.keys.removeAll(expired)
+        entries.keys.removeAll(expired)
+        publish("removed " + expired.joinToString(",", transform = ::loggedName))
+    }
+
+    /** Applies a change, unless it precedes what is known: a watch may deliver it later than a peer's snapshot. */
     fun update(entry: StoredObject) {
+        val known = entries[entry.name]?.takeIf { entry.name !in keptUntilMillis }
+        if (entry.version <= (known?.version ?: completeRevision)) return
+        keptUntilMillis.remove(entry.name)
         put(entry)
+        revision = maxOf(revision, entry.version)
         publish("changed ${loggedName(entry.name)}")
     }
 
     fun remove(name: String, atRevision: Long) {
-        if (entries.remove(name) == null) return
+        val known = entries[name] ?: return
+        if (known.version > atRevision) return
+        keptUntilMillis.remove(name)
+        entries.remove(name)
         revision = maxOf(revision, atRevision)
         publish("removed ${loggedName(name)}")
     }
 
-    /** Adopts a peer's list if it is newer, while this node's own watch is behind. */
+    /**
+     * Adopts a peer's list if it is newer, while this node's own watch is behind. A server that either node keeps after
+     * an outage stays for the rest of its time, unless this node knows that it has left.
+     */
     fun tryApply(snapshot: Snapshot) {
         if (snapshot.revision <= revision) return
-        val list = storeJson.parseToJsonElement(snapshot.document) as JsonArray
-        entries.clear()
+        val list = (storeJson.parseToJsonElement(snapshot.document) as JsonArray).map { it as JsonObject }
+        val hadEntries = revision > 0
+        val before = LinkedHashMap(entries)
+        entries.keys.retainAll(keptUntilMillis.keys)
         for (element in list) {
-            val entry = element as JsonObject
-            val name = entry.getValue("name").jsonPrimitive.content
-            val version = entry.getValue("version").jsonPrimitive.longOrNull ?: 0
-            entries[name] =
-                StoredObject(ObjectKind.BACKEND_SERVERS, name, version, entry.getValue("spec") as JsonObject)
+            val entry = decodeSnapshotEntry(element)
+            val keptMillis = element[KEPT_MILLIS]?.jsonPrimitive?.longOrNull
+            if (keptMillis == null) {
+                entries[entry.name] = entry
+                keptUntilMillis.remove(entry.name)
+            } else if (entry.name !in keptUntilMillis && (entry.name in before || !hadEntries)) {
+                entries[entry.name] = entry
+                keep(listOf(entry.name), keptMillis.coerceIn(0, retentionMillis))
+            }
         }
         revision = snapshot.revision
+        completeRevision = snapshot.revision
         publish("taken from a peer")
     }
 
+    private fun decodeSnapshotEntry(entry: JsonObject) = StoredObject(
+        ObjectKind.BACKEND_SERVERS,
+        entry.getValue("name").jsonPrimitive.content,
+        entry.getValue("version").jsonPrimitive.longOrNull ?: 0,
+        entry.getValue("spec") as JsonObject,
+    )
+
     private fun put(entry: StoredObject) {
         val previous = entries[entry.name]
         if (previous != null && previous.version > entry.version) return
         entries[entry.name] = entry
-        revision = maxOf(revision, entry.version)
         if (decode(entry) == null && (previous == null || decode(previous) != null)) {
             log.record("backend_server_unusable", "server" to loggedName(entry.name), "revision" to entry.version)
         }
@@ -118,7 +178,13 @@
             "reason" to reason,
             "revision" to revision,
             "entries" to entries.size,
+            "kept" to keptUntilMillis.size,
             "usable" to servers.count { !it.isDraining },
         )
     }
+
+    private companion object {
+        /** How much longer an entry of a snapshot is kept. */
+        const val KEPT_MILLIS = "keptMillis"
+    }
 }
