Test a quarantined part of prompts with one held batch item at a time

Cause: batch items with a quarantined part were held until the quarantine ended, 120 s after the last crash. Parts that only batch items have are answered by nobody meanwhile, so nothing could show that a part had been blamed by mistake, or that it is sound again. What callers saw: items that were neither completed nor given up, while no server worked on them (LOST). Change: PartTrials decides when one held item is sent as a trial: by the node that holds the first of all held items, 3 s after the quarantine's beginning, 8 s and 20 s after failed trials, three in all. Nodes tell each other, with the quarantine, how many trials were started, how many no server got, and their first held item. The first event releases the part at all nodes; an answer by a node that had learnt of the quarantine from its peers is now shared too. Nodes that are cut off from most others send no trial.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
@@ -12,7 +12,7 @@
     data object Impossible : RunOutcome
 
     /** The run was interrupted or did not start. The output received so far is kept, and the item resumes after it. */
-    data class Interrupted(val reason: String) : RunOutcome
+    data class Interrupted(val reason: String, val wasSent: Boolean = true) : RunOutcome
 }
 
 /** A job item that this node runs: its failed attempts and the output received so far. */
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
@@ -9,7 +9,8 @@
 /**
  * Finds parts of prompts on which backend servers crash, so that requests with them are refused. The evidence of all
  * nodes counts: requests that were in flight at a crash, and parts that were answered since. A quarantine ends after a
- * time without crashes, or when the part is answered after all. Its memory is bounded. Confined to one thread.
+ * time without crashes, or when the part is answered after all, for example by the trial of a held batch item
+ * ([PartTrials]). Its memory is bounded. Confined to one thread.
  */
 class PromptQuarantine(private val timer: TimerService, private val log: DecisionLog) {
     private class Disconnect(
@@ -24,6 +25,7 @@
         var crashes: Int,
         var lastCrashMillis: Long,
         val renewals: Int,
+        val trials: PartTrials,
         var isReleased: Boolean = false,
     )
 
@@ -60,7 +62,7 @@
         lastAnswerMillis = nowMillis
         for (part in sharedParts) {
             ownAnswers.record(part, nowMillis)
-            if (suspectedParts.remove(part)) {
+            if (suspectedParts.remove(part) || quarantines[part]?.isReleased == false) {
                 sharedAnswers.record(part, nowMillis, nowMillis)
                 evidenceChangedMillis = nowMillis
             }
@@ -124,7 +126,12 @@
             ownCrashes.map { CrashReport(it.server, it.requestId, it.sharedParts, nowMillis - it.atMillis) },
             sharedAnswers.agesMillis(nowMillis),
             quarantines.filterValues { !it.isReleased }.mapValues { (_, quarantine) ->
-                QuarantineReport(quarantine.crashes, quarantine.renewals, nowMillis - quarantine.lastCrashMillis)
+                QuarantineReport(
+                    quarantine.crashes,
+                    quarantine.renewals,
+                    nowMillis - quarantine.lastCrashMillis,
+                    quarantine.trials.report,
+                )
             },
         )
     }
@@ -147,9 +154,57 @@
         val lastCrashMillis = nowMillis - report.lastCrashAgeMillis
         val isOver = report.lastCrashAgeMillis >= durationMillis(report.renewals)
         // A quarantine that ended here is not taken up again from a node where it ends a little later.
-        val isKnown = (quarantines[part]?.renewals ?: -1) >= report.renewals
+        val known = quarantines[part]
+        if (known?.renewals == report.renewals) known.trials.merge(report.trials, nowMillis)
+        val isKnown = known != null && known.renewals >= report.renewals
         if (isOver || isKnown || isAnsweredSince(part, lastCrashMillis)) return
-        start(part, Quarantine(report.crashes, lastCrashMillis, report.renewals), "peer")
+        val trials = PartTrials(nowMillis).apply { merge(report.trials, nowMillis) }
+        start(part, Quarantine(report.crashes, lastCrashMillis, report.renewals, trials), "peer")
+    }
+
+    /**
+     * Tells which batch items wait here because parts of their prompts are refused; none while this node is cut off
+     * from most others, which may send trials too. Called periodically.
+     */
+    fun updateHeldItems(items: List<HeldItem>) {
+        if (quarantines.isEmpty()) return
+        val nowMillis = timer.monotonicMillis()
+        for ((part, quarantine) in quarantines) {
+            val first = items.filter { part in it.sharedParts }.minOfOrNull { candidate(it) }
+            quarantine.trials.offer(first, nowMillis)
+        }
+    }
+
+    /** Whether [item] is to be sent although parts of its prompt are refused, as a trial of these parts. */
+    fun isTrialDue(item: HeldItem): Boolean {
+        val nowMillis = timer.monotonicMillis()
+        val candidate = candidate(item)
+        return quarantinesOf(item.sharedParts).values
+            .all { it.trials.isDue(candidate, it.lastCrashMillis, nowMillis) }
+    }
+
+    /** Records that a request with [sharedParts] is sent; returns those that it tests. */
+    fun startTrial(sharedParts: List<String>): Set<String> {
+        val tested = quarantinesOf(sharedParts)
+        for ((part, quarantine) in tested) {
+            quarantine.trials.recordStart(timer.monotonicMillis())
+            log.record("part_tested", "part" to part, "trial" to quarantine.trials.started)
+        }
+        return tested.keys
+    }
+
+    /** Records that no server got the trial of [testedParts]. */
+    fun returnTrial(testedParts: Set<String>) {
+        for (quarantine in quarantinesOf(testedParts).values) quarantine.trials.recordReturn(timer.monotonicMillis())
+    }
+
+    private fun quarantinesOf(parts: Collection<String>): Map<String, Quarantine> =
+        quarantines.filter { (part, quarantine) -> part in parts && !quarantine.isReleased }
+
+    /** Sorts items by the number of their parts on which servers may crash: a crash tells more of a single one. */
+    private fun candidate(item: HeldItem): String {
+        val suspects = item.sharedParts.count { it in suspectedParts || it in quarantines }
+        return "${suspects.toString().padStart(SUSPECTS_DIGITS, '0')} ${item.id}"
     }
 
     /** Decides which parts are refused; called periodically. */
@@ -174,12 +229,14 @@
                 // Without any answer meanwhile, all servers may be in trouble for another reason.
                 if (lastAnswerMillis < suspect.crashes.first().atMillis) return
                 val servers = suspect.crashes.mapTo(LinkedHashSet()) { it.server }
-                start(suspect.part, Quarantine(crashes, lastCrashMillis, renewals = 0), "crashes", servers)
+                val trials = PartTrials(timer.monotonicMillis())
+                start(suspect.part, Quarantine(crashes, lastCrashMillis, renewals = 0, trials), "crashes", servers)
             }
             lastCrashMillis <= known.lastCrashMillis -> Unit
             known.isReleased -> {
                 val server = suspect.crashes.last().server
-                start(suspect.part, Quarantine(crashes, lastCrashMillis, known.renewals + 1), "renewed", setOf(server))
+                val renewed = Quarantine(crashes, lastCrashMillis, known.renewals + 1, known.trials)
+                start(suspect.part, renewed, "renewed", setOf(server))
             }
             else -> {
                 known.crashes = crashes
@@ -278,5 +335,6 @@
         const val MAX_ANSWERED_PARTS = 4_096
         const val MAX_SUSPECTED_PARTS = 4_096
         const val MAX_QUARANTINES = 64
+        const val SUSPECTS_DIGITS = 3
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/QuarantineEvidence.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/QuarantineEvidence.kt
@@ -12,7 +12,19 @@
 )
 
 /** A part of prompts that is refused, because servers crashed on it. */
-data class QuarantineReport(val crashes: Int, val renewals: Int, val lastCrashAgeMillis: Long)
+data class QuarantineReport(
+    val crashes: Int,
+    val renewals: Int,
+    val lastCrashAgeMillis: Long,
+    val trials: TrialReport = TrialReport(),
+) {
+    /** The report of the later quarantine, or the sum of what two nodes know of the same one. */
+    operator fun plus(other: QuarantineReport): QuarantineReport = when {
+        other.renewals > renewals -> other
+        other.renewals < renewals -> this
+        else -> copy(trials = trials + other.trials)
+    }
+}
 
 /**
  * What nodes tell each other about prompts on which servers crash. Times are ages, because the nodes' clocks differ; a
@@ -47,9 +59,7 @@
         val reports = HashMap<String, QuarantineReport>()
         for (evidence in all) {
             for ((part, age) in evidence.answerAgesMillis) answers.merge(part, age, ::minOf)
-            for ((part, report) in evidence.quarantines) {
-                reports.merge(part, report) { first, second -> if (second.renewals > first.renewals) second else first }
-            }
+            for ((part, report) in evidence.quarantines) reports.merge(part, report, QuarantineReport::plus)
         }
         return QuarantineEvidence(
             all.flatMap { it.crashes }.distinctBy { it.server to it.requestId },
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -52,6 +52,11 @@
 }
 
 /** The server that runs an item, and the coroutine that reads its output. */
-internal class RunningItem(val server: BackendServer, val startedNanos: Long) {
+internal class RunningItem(
+    val server: BackendServer,
+    val startedNanos: Long,
+    /** The quarantined parts of the item's prompt, if its run is a trial of them. */
+    val testedParts: Set<String>,
+) {
     var job: Job? = null
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -26,6 +26,7 @@
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.placement.Slack
 import ragwortbarrow.core.placement.Urgency
+import ragwortbarrow.core.quarantine.HeldItem
 import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.time.NANOS_PER_MILLI
@@ -145,6 +146,7 @@
     /** Adapts the running items to the current load: stops excess ones, then starts items in free slots. */
     fun rebalance() {
         remainingStarts = components.placement.startQuota(components.members.size)
+        updateHeldItems()
         if (activeJobs.isEmpty()) return
         preemptExcessItems()
         failOverdueItems()
@@ -182,7 +184,9 @@
     /** Stops [count] items on [server]: the least urgent first, and of equally urgent ones the last started. */
     private fun preemptItems(server: BackendServer, count: Int) {
         val running = activeJobs.values.flatMap { job ->
-            job.running.filterValues { it.server.id == server.id }.map { (item, run) -> run to urgency(job, item) }
+            // A trial that ends before an event tells nothing, and the item beside it can be stopped instead.
+            job.running.filterValues { it.server.id == server.id && it.testedParts.isEmpty() }
+                .map { (item, run) -> run to urgency(job, item) }
         }
         val order = compareBy(Urgency.MOST_URGENT_FIRST) { item: Pair<RunningItem, Urgency> -> item.second }
             .thenBy { it.first.startedNanos }
@@ -192,7 +196,13 @@
         }
     }
 
-    private class Candidate(val job: ActiveJob, val item: ItemProgress, val route: Route, val urgency: Urgency)
+    private class Candidate(
+        val job: ActiveJob,
+        val item: ItemProgress,
+        val route: Route,
+        val urgency: Urgency,
+        val isTrial: Boolean,
+    )
 
     private fun startWaitingItems() {
         // While the store is away, results wait in memory.
@@ -205,6 +215,7 @@
             if (remainingStarts <= 0) return
             val service = candidate.route.service(Random.nextDouble())
             val slack = candidate.urgency.slack
+            if (candidate.isTrial && !components.quarantine.isTrialDue(heldItem(candidate.item))) continue
             if (service to slack in full) continue
             val server = components.placement.place(service, slack)
             if (server == null || !components.tracker.tryAcquire(server.id)) {
@@ -223,7 +234,8 @@
             failItems(job, "the job's route is not in the configuration")
             return emptyList()
         }
-        return job.waiting.filter { isStartable(job, it) }.map { Candidate(job, it, route, urgency(job, it)) }
+        return job.waiting.filter { isStartable(job, it) }
+            .map { Candidate(job, it, route, urgency(job, it), isTrial = it in job.withheld) }
     }
 
     /** Whether an item need not wait because servers crash on a part of its prompt, or may do so. */
@@ -235,7 +247,24 @@
         } else if (job.withheld.add(progress)) {
             log.record("item_withheld", "job" to job.job.id, "item" to progress.item.id, "part" to part)
         }
-        return part == null
+        return part == null || components.quarantine.isTrialDue(heldItem(progress))
+    }
+
+    private fun heldItem(progress: ItemProgress) =
+        HeldItem("${progress.item.id}/${components.members.self.vm}", progress.sharedPromptParts)
+
+    /** Offers the items that wait for the end of a quarantine as trials, unless other groups of nodes may send some. */
+    private fun updateHeldItems() {
+        val isInMajority = (components.members.reachable().size + 1) * 2 > components.members.size
+        val held = if (isStopping || !isInMajority) {
+            emptyList()
+        } else {
+            val nowMillis = timer.monotonicMillis()
+            activeJobs.values.filter { !it.isStopped }.flatMap { job ->
+                job.waiting.filter { it in job.withheld && it.startableAtMillis <= nowMillis }.map { heldItem(it) }
+            }
+        }
+        components.quarantine.updateHeldItems(held)
     }
 
     private fun urgency(job: ActiveJob, item: ItemProgress): Urgency {
@@ -251,7 +280,9 @@
     private fun route(job: BatchJob): Route? = components.configuration.table?.route(job.host, job.path)
 
     private fun startItem(job: ActiveJob, progress: ItemProgress, route: Route, server: BackendServer) {
-        val running = RunningItem(server, timer.nanoTime())
+        val testedParts = components.quarantine.startTrial(progress.sharedPromptParts)
+        if (testedParts.isNotEmpty()) metrics.increment("quarantine_trials")
+        val running = RunningItem(server, timer.nanoTime(), testedParts)
         job.running[progress] = running
         log.record(
             "item_started",
@@ -275,6 +306,8 @@
                     progress.startableAtMillis = timer.monotonicMillis() + FAULTY_SERVER_PAUSE_MILLIS
                 }
                 outcome = RunOutcome.Interrupted(failure.message.orEmpty())
+            } catch (failure: HttpFailure.ConnectFailed) {
+                outcome = RunOutcome.Interrupted(failure.message.orEmpty(), wasSent = false)
             } catch (failure: HttpFailure) {
                 outcome = RunOutcome.Interrupted(failure.message.orEmpty())
             } finally {
@@ -417,6 +450,9 @@
     private fun finishItem(job: ActiveJob, progress: ItemProgress, outcome: RunOutcome) {
         val running = job.running.remove(progress)
         progress.applyOutcome(outcome)
+        if (running != null && outcome is RunOutcome.Interrupted && !outcome.wasSent) {
+            components.quarantine.returnTrial(running.testedParts)
+        }
         val result = progress.result
         log.record(
             "item_ended",
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
@@ -137,13 +137,13 @@
         silentSocket.close()
     }
 
-    fun job(items: Int, holder: FleetNode = self) = BatchJob(
+    fun job(items: Int, holder: FleetNode = self, headers: Map<String, String> = emptyMap()) = BatchJob(
         id = "job",
         host = route.host,
         path = route.pathPrefix,
         customer = "mill",
         submittedWallMillis = timer.wallMillis(),
-        items = (1..items).map { BatchItem("item-$it", "/quote/$it") },
+        items = (1..items).map { BatchItem("item-$it", "/quote/$it", headers) },
         holder = JobHolder(holder.vm.value, holder.incarnation),
     )
 
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -2,6 +2,8 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import ragwortbarrow.core.fleet.FleetNode
+import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.jobs.ResultLog
@@ -119,4 +121,58 @@
         fixture.dispatcher.runQueued()
         expectThat(itemsInFlight()).isEqualTo(3)
     }
+
+    private fun pass(millis: Long) = repeat((millis / 100).toInt()) {
+        fixture.timer.advance(100)
+        fixture.quarantine.recordAnswer(listOf("common", "other"))
+        fixture.quarantine.update()
+        runner.rebalance()
+        fixture.dispatcher.runQueued()
+    }
+
+    /** Three servers end with requests that have the part, as those that items of one job share do. */
+    private fun blamePart() {
+        repeat(3) {
+            val server = BackendServerId("ended-$it")
+            fixture.quarantine.recordDisconnect(server, "request-$it", listOf("common", "subject"))
+            pass(1_000)
+        }
+        pass(500)
+        expectThat(fixture.quarantine.size).isEqualTo(1)
+    }
+
+    /** Guards against items that are held for good: nothing else has the part that is to be answered. */
+    @Test
+    fun `one of the items whose part is in quarantine is tried, and all start once it is answered`() {
+        blamePart()
+        runner.startJob(fixture.job(items = 3, headers = mapOf("parts" to "common,subject")), ResultLog(3))
+        pass(1_000)
+        expectThat(itemsInFlight()).isEqualTo(0)
+        pass(5_000)
+        expectThat(itemsInFlight()).isEqualTo(1)
+        // Online requests need the slot.
+        fixture.servers.forEach { runner.freeSlot(it) }
+        pass(1_000)
+        expectThat(itemsInFlight()).isEqualTo(1)
+        fixture.quarantine.recordAnswer(listOf("common", "subject"))
+        pass(500)
+        expectThat(itemsInFlight()).isEqualTo(3)
+    }
+
+    @Test
+    fun `no item is tried while this node does not reach most others`() {
+        blamePart()
+        val peers = (2..3).map { FleetNode(VmId("vm-$it"), "127.0.0.1:$it", 1, fixture.self.failureDomain) }
+        peers.forEach { fixture.members.addMember(it) }
+        fixture.timer.advance(4_000)
+        runner.startJob(fixture.job(items = 3, headers = mapOf("parts" to "common,subject")), ResultLog(3))
+        pass(20_000)
+        expectThat(itemsInFlight()).isEqualTo(0)
+        fixture.members.recordContact(peers[0], isLeaving = false)
+        repeat(20) {
+            fixture.members.recordContact(peers[0], isLeaving = false)
+            pass(100)
+        }
+        expectThat(itemsInFlight()).isEqualTo(1)
+    }
 }
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -19,6 +19,7 @@
 import ragwortbarrow.core.quarantine.CrashReport
 import ragwortbarrow.core.quarantine.QuarantineEvidence
 import ragwortbarrow.core.quarantine.QuarantineReport
+import ragwortbarrow.core.quarantine.TrialReport
 import ragwortbarrow.fleet.v1.AcceptedJob
 import ragwortbarrow.fleet.v1.AnsweredPart
 import ragwortbarrow.fleet.v1.Member
@@ -72,7 +73,9 @@
     .addAllQuarantinedParts(
         activity.quarantineEvidence.quarantines.map { (part, report) ->
             QuarantinedPart.newBuilder().setPart(part).setCrashes(report.crashes).setRenewals(report.renewals)
-                .setLastCrashAgeMillis(report.lastCrashAgeMillis).build()
+                .setLastCrashAgeMillis(report.lastCrashAgeMillis)
+                .setTrialsStarted(report.trials.started).setTrialsReturned(report.trials.returned)
+                .setFirstCandidate(report.trials.firstCandidate.orEmpty()).build()
         },
     )
     .setRelayed(isRelayed)
@@ -121,7 +124,8 @@
     },
     answerAgesMillis = answeredPartsList.associate { it.part to it.ageMillis },
     quarantines = quarantinedPartsList.associate {
-        it.part to QuarantineReport(it.crashes, it.renewals, it.lastCrashAgeMillis)
+        val trials = TrialReport(it.trialsStarted, it.trialsReturned, it.firstCandidate.ifEmpty { null })
+        it.part to QuarantineReport(it.crashes, it.renewals, it.lastCrashAgeMillis, trials)
     },
 )
 
