Give the report of a trial the time that it takes in an idle fleet

Cause: nodes of an idle fleet exchange states every 500 ms, and a report passes three exchanges; a trial was sent 1.2 s after its announcement. What callers saw: nothing; found by reading. Change: 1.7 s, before the announcement and after it.

--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
@@ -90,8 +90,8 @@
         /** Pauses before the first trial and after each failed one; a server that ended is back after some seconds. */
         val PAUSES_MILLIS = listOf(3_000L, 8_000L, 20_000L)
 
-        /** Time until all nodes know what this one reports. */
-        const val PROPAGATION_MILLIS = 1_200L
+        /** Time until all nodes know what this one reports: three exchanges of an idle fleet. */
+        const val PROPAGATION_MILLIS = 1_700L
 
         /** Candidates are reported several times within this time. */
         const val HEARD_MILLIS = 2_500L
