Soak: servers crash in series or say that they leave

Items of a job share a part of their prompts, as real ones do. The verifier takes DRAIN from what a node had passed on to its callers; items that are not finished at the end were LOST before.

--- a/cli/src/main/kotlin/ragwortbarrow/cli/soak/SoakCommand.kt
+++ b/cli/src/main/kotlin/ragwortbarrow/cli/soak/SoakCommand.kt
@@ -4,12 +4,15 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.enum
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.path
 import com.github.ajalt.clikt.parameters.types.restrictTo
+import ragwortbarrow.soak.ServerTrouble
 import ragwortbarrow.soak.Soak
 import java.nio.file.Path
 
@@ -27,6 +30,8 @@
         .default(DEFAULT_NODES)
     private val program by option("--program", help = "Command line that starts the entry program, split at blanks")
         .default("java @deploy/entry.jvm -jar target/entry/ragwortbarrow-platform-0.1.0-SNAPSHOT.jar")
+    private val troubles by option("--trouble", help = "Faults of backend servers beside the others; may be repeated")
+        .enum<ServerTrouble> { it.name.lowercase() }.multiple(default = Soak.DEFAULT_TROUBLES.toList())
     private val folder by option("--folder", help = "Where the logs of all processes go").path()
         .default(Path.of("target", "soak"))
 
@@ -38,7 +43,7 @@
         var failed = 0
         var next = seed
         while (next < seed + runs || System.nanoTime() < untilNanos) {
-            val report = Soak.of(next, seconds, nodes, program.split(' '), folder).run()
+            val report = Soak.of(next, seconds, nodes, program.split(' '), folder, troubles.toSet()).run()
             echo(report.toString())
             if (report.violations.isNotEmpty()) failed++
             next++
--- a/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
@@ -14,7 +14,7 @@
 ) {
     private val executor = Executors.newScheduledThreadPool(THREADS) { Thread(it, "fault").apply { isDaemon = true } }
     private val nodeLocks = fleet.nodes.associateWith { Any() }
-    private val serverLock = Any()
+    private val servers = ServerFaultInjector(fleet, records)
 
     fun schedule(plan: List<PlannedFault>) {
         for (planned in plan) {
@@ -49,17 +49,17 @@
             pause(durationMillis)
             link.setFault(LinkFault.None)
         }
-        is SoakFault.Freeze -> withNode(fault.node) { process ->
+        is SoakFault.Freeze -> interrupt(fault.node) { process ->
             process.freeze()
             pause(durationMillis)
             process.thaw()
         }
-        is SoakFault.Kill -> withNode(fault.node) { process ->
+        is SoakFault.Kill -> interrupt(fault.node) { process ->
             process.kill()
             pause(durationMillis)
             process.start()
         }
-        is SoakFault.Restart -> withNode(fault.node) { process ->
+        is SoakFault.Restart -> interrupt(fault.node) { process ->
             val fromMillis = nowMillis()
             if (!process.stop(STOP_TIMEOUT_SECONDS)) {
                 records.violations += "DRAIN ${fault.node} did not end within $STOP_TIMEOUT_SECONDS s of SIGTERM"
@@ -75,7 +75,9 @@
             pause(durationMillis)
         }
         SoakFault.StoreForgetsHistory -> fleet.store.dropHistory()
-        is SoakFault.Drain -> drain(fault.server)
+        is SoakFault.Drain -> servers.drain(fault.server)
+        is SoakFault.Leave -> servers.leave(fault, durationMillis)
+        is SoakFault.CrashSeries -> servers.crash(fault, durationMillis)
         SoakFault.ChangeConfiguration -> fleet.publishConfiguration()
         SoakFault.WithdrawKey -> withdraw(durationMillis)
     }
@@ -86,10 +88,16 @@
         action(process)
     }
 
+    private fun interrupt(node: String, action: (LocalProcess) -> Unit) = withNode(node) { process ->
+        val end = records.interruptions.begin(setOf(node))
+        action(process)
+        end()
+    }
+
     private fun stopStore(fault: SoakFault.StoreDown, durationMillis: Long) = synchronized(fleet.store) {
         fleet.store.isDown = true
         pause(durationMillis)
-        synchronized(serverLock) {
+        servers.withEntries {
             if (fault.expiresServers) fleet.serverNumbers().forEach { fleet.unregister(it) }
             fleet.store.isDown = false
             if (fault.expiresServers) {
@@ -99,15 +107,6 @@
         }
     }
 
-    private fun drain(server: Int) = synchronized(serverLock) {
-        val id = fleet.serverId(server)
-        fleet.register(server, state = "draining")
-        records.drains += ServerDrain(id, nowMillis())
-        pause(DRAIN_DURATION_MILLIS)
-        fleet.unregister(server)
-        fleet.startServer(server)
-    }
-
     private fun withdraw(durationMillis: Long) = synchronized(records) {
         fleet.publishConfiguration { it += ROTATED_KEY }
         val atMillis = nowMillis()
@@ -125,9 +124,6 @@
         /** Expired server entries are registered again within two seconds of the store's return. */
         const val REREGISTER_DELAY_MILLIS = 1_500L
 
-        /** How long a draining server continues to serve. */
-        const val DRAIN_DURATION_MILLIS = 4_000L
-
         /** Leaves time for requests to arrive after the nodes had to apply the configuration. */
         const val EXTRA_WITHDRAWN_MILLIS = 4_000L
     }
--- a/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
@@ -33,6 +33,7 @@
     private val size: SoakSize,
     private val launcher: NodeLauncher,
     folder: Path,
+    private val troubles: Set<ServerTrouble>,
 ) {
     private val folder = folder.resolve("seed-$seed")
     private val records = SoakRecords()
@@ -42,7 +43,7 @@
     fun run(): SoakReport {
         Files.createDirectories(folder)
         Files.list(folder).use { old -> old.forEach(Files::delete) }
-        val plan = soakPlan(seed, seconds, size)
+        val plan = soakPlan(seed, seconds, size, troubles)
         val fleet = SoakFleet(size, seed, launcher, folder)
         // Ends the processes when the soak is interrupted.
         val shutdownHook = Thread { fleet.close() }
@@ -70,7 +71,15 @@
         checkRecovery(fleet)
         val script = fleet.script
         val violations =
-            SoakVerifier(records, disturbances, fleet.runs(), script.failures, script.statuses).violations()
+            SoakVerifier(
+                records,
+                disturbances,
+                fleet.runs(),
+                script.failures,
+                script.statuses,
+                fleet.received(),
+                fleet.nodes,
+            ).violations()
         violations.forEach { log(it) }
         return report(plan.size, violations)
     }
@@ -105,6 +114,7 @@
     }
 
     companion object {
+        val DEFAULT_TROUBLES = setOf(ServerTrouble.LEAVE, ServerTrouble.CRASH)
         private const val JOB_CALLERS = 4
 
         /** The completion target of jobs is 18 s after their submission. */
@@ -113,10 +123,17 @@
         private const val RECOVERY_PAUSE_MILLIS = 1_000L
 
         /** Creates a soak of the program that [program] starts, for example `java -jar …`. */
-        fun of(seed: Long, seconds: Int, nodes: Int, program: List<String>, folder: Path): Soak {
+        fun of(
+            seed: Long,
+            seconds: Int,
+            nodes: Int,
+            program: List<String>,
+            folder: Path,
+            troubles: Set<ServerTrouble> = DEFAULT_TROUBLES,
+        ): Soak {
             // The JDK's HTTP client rejects a custom Host header unless this property allows it.
             System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
-            return Soak(seed, seconds, SoakSize(nodes = nodes), { ProcessBuilder(program + it) }, folder)
+            return Soak(seed, seconds, SoakSize(nodes = nodes), { ProcessBuilder(program + it) }, folder, troubles)
         }
     }
 }
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakCallers.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakCallers.kt
@@ -5,9 +5,11 @@
 import java.io.InputStream
 import java.net.URI
 import java.net.http.HttpClient
+import java.net.http.HttpHeaders
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
+import kotlin.jvm.optionals.getOrNull
 import kotlin.random.Random
 
 /** Callers of online requests, each of which keeps using its open connections until their node exits. */
@@ -52,18 +54,38 @@
         .header("Host", HOST).header("X-Request-Id", id).header("X-Deadline-Ms", CALL_TIMEOUT_MILLIS.toString())
         .header("X-Credential", key)
         .timeout(Duration.ofMillis(CALL_TIMEOUT_MILLIS)).build()
-    fun record(status: Int, body: String, isStamped: Boolean, isComplete: Boolean, failure: String?) =
-        SoakCall(id, kind, node, key, sentMillis, nowMillis(), status, body, isStamped, isComplete, failure)
+    fun record(
+        status: Int,
+        body: String,
+        isComplete: Boolean,
+        answer: ServerAnswer?,
+        failure: String? = null,
+    ): SoakCall {
+        val isStamped = answer != null
+        return SoakCall(
+            id, kind, node, key, sentMillis, nowMillis(), status, body, isStamped, isComplete, failure, answer,
+        )
+    }
     return try {
         val response = send(request, HttpResponse.BodyHandlers.ofInputStream())
-        val isStamped = response.headers().firstValue("X-Server-Stamp").isPresent
+        val answer = serverAnswer(response.headers())
         val (body, isComplete) = readAll(response.body())
-        record(response.statusCode(), body, isStamped, isComplete, null)
+        record(response.statusCode(), body, isComplete, answer)
     } catch (failure: IOException) {
-        record(status = 0, body = "", isStamped = false, isComplete = false, failure = failure.toString())
+        record(status = 0, body = "", isComplete = false, answer = null, failure = failure.toString())
     }
 }
 
+/** Returns null for a response without the stamp of a server. */
+private fun serverAnswer(headers: HttpHeaders): ServerAnswer? =
+    headers.firstValue("X-Server-Stamp").getOrNull()?.let { stamp ->
+        ServerAnswer(
+            server = stamp.removePrefix("stamp-"),
+            atMillis = nowMillis(),
+            isLeaving = headers.firstValue("Server-Leaving").getOrNull() == "1",
+        )
+    }
+
 /** Reads the body of a response; the second value tells whether it ended normally. */
 private fun readAll(stream: InputStream): Pair<String, Boolean> {
     val bytes = ByteArrayOutputStream()
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakFault.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakFault.kt
@@ -49,6 +49,19 @@
         override val targets = emptySet<String>()
     }
 
+    /**
+     * A backend server says in its responses that it leaves, later [isDraining] in the store or has no entry there,
+     * and is replaced by one with another id.
+     */
+    data class Leave(val server: Int, val isDraining: Boolean) : SoakFault {
+        override val targets = emptySet<String>()
+    }
+
+    /** Backend servers crash one after the other, [gapMillis] apart, and start again. */
+    data class CrashSeries(val servers: List<Int>, val gapMillis: Long) : SoakFault {
+        override val targets = emptySet<String>()
+    }
+
     data object ChangeConfiguration : SoakFault {
         override val targets = emptySet<String>()
     }
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakFleet.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakFleet.kt
@@ -93,6 +93,10 @@
     fun runs(): List<Pair<String, RunnerRequest>> =
         startedServers.flatMap { runner -> runner.ran.map { runner.id to it } }
 
+    /** Requests that reached any server, each with the id of that server. */
+    fun received(): List<Pair<String, RunnerRequest>> =
+        startedServers.flatMap { runner -> runner.received.map { runner.id to it } }
+
     /** Writes the next version of the configuration and returns when the store has acknowledged it. */
     @Synchronized
     fun publishConfiguration(change: (HashSet<String>) -> Unit = {}) {
@@ -120,7 +124,9 @@
 
     fun unregister(number: Int) = store.remove("servers", serverId(number))
 
-    fun serverId(number: Int): String = currentServers.getValue(number).id
+    fun server(number: Int): OperatorRunnerStandIn = currentServers.getValue(number)
+
+    fun serverId(number: Int): String = server(number).id
 
     fun serverNumbers(): List<Int> = currentServers.keys.toList()
 
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakJobCallers.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakJobCallers.kt
@@ -123,7 +123,8 @@
     private fun submissionBody(job: SoakJob) = job.items.joinToString(",", """{"items":[""", "]}") { item ->
         val path = ServerScript.ITEM_PREFIX + if (item.endsWith(POISON_MARK)) ServerScript.POISON_SUFFIX else "item"
         val body = Base64.getEncoder().encodeToString("input of $item".toByteArray())
-        """{"id":"$item","path":"$path","headers":{"X-Model":"m"},"body":"$body","tokens":10}"""
+        val headers = """{"X-Model":"m","X-Prompt-Prefix":"subject-of-${job.id}:300,$item:40"}"""
+        """{"id":"$item","path":"$path","headers":$headers,"body":"$body","tokens":10}"""
     }
 
     private fun node(random: Random) = fleet.readyNodes.ifEmpty { fleet.nodes }.random(random)
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakPlan.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakPlan.kt
@@ -14,8 +14,16 @@
     val callers: Int = 12,
 )
 
-/** Draws the faults of a run from its seed alone: consecutive and overlapping ones, also several on the same target. */
-internal fun soakPlan(seed: Long, seconds: Int, size: SoakSize): List<PlannedFault> {
+/**
+ * Draws the faults of a run from its seed and [troubles] alone: consecutive and overlapping ones, also several on the
+ * same target.
+ */
+internal fun soakPlan(
+    seed: Long,
+    seconds: Int,
+    size: SoakSize,
+    troubles: Set<ServerTrouble> = emptySet(),
+): List<PlannedFault> {
     val random = Random(seed)
     val lastMillis = seconds * 1_000L - FAULT_FREE_MILLIS
     val plan = ArrayList<PlannedFault>()
@@ -26,7 +34,8 @@
         // One fault in three begins together with the next one.
         if (random.nextInt(3) > 0) atMillis += random.nextLong(MAX_GAP_MILLIS)
     }
-    return plan
+    for (trouble in troubles) plan += trouble.plan(seed, FAULT_FREE_MILLIS, lastMillis, size)
+    return plan.sortedBy { it.atMillis }
 }
 
 private fun drawFault(random: Random, size: SoakSize): SoakFault {
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakRecords.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakRecords.kt
@@ -26,13 +26,17 @@
     /** Whether the body ended normally. */
     val isComplete: Boolean,
     val failure: String? = null,
+    val serverAnswer: ServerAnswer? = null,
 )
 
+/** What [server] stated about itself in a response that a node had passed on at [atMillis]. */
+internal data class ServerAnswer(val server: String, val atMillis: Long, val isLeaving: Boolean = false)
+
 /** Result of one item of a batch job. */
 internal data class SoakResult(val item: String, val state: String, val output: String)
 
 /** A batch job as its caller observed it. */
-internal class SoakJob(val id: String, val items: List<String>) {
+internal class SoakJob(val id: String, val items: List<String>, val sentMillis: Long = nowMillis()) {
     val statuses = ConcurrentLinkedQueue<Int>()
     val results = ConcurrentHashMap<Int, SoakResult>()
 
@@ -56,6 +60,9 @@
     val withdrawals = ConcurrentLinkedQueue<KeyWithdrawal>()
     val drains = ConcurrentLinkedQueue<ServerDrain>()
     val restarts = ConcurrentLinkedQueue<NodeRestart>()
+
+    /** Times when the process of a node was paused or not running. */
+    val interruptions = Disturbances()
 }
 
 /** The store acknowledged at [atMillis] that [key] is withdrawn, and at [untilMillis] that it is granted again. */
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakVerifier.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakVerifier.kt
@@ -12,7 +12,12 @@
     private val itemFailures: Map<String, Int>,
     /** Statuses with which servers responded to each request. */
     private val serverStatuses: Map<String, Set<Int>>,
+    /** Requests that reached a server, each with the id of that server. */
+    received: List<Pair<String, RunnerRequest>> = runs,
+    nodes: List<String> = emptyList(),
 ) {
+    private val answers = PassedAnswers(records, nodes)
+    private val leaving = LeavingVerifier(records, answers, received)
     private val runsById = runs.groupBy { it.second.header("X-Request-Id").orEmpty() }
     private val callsById = records.calls.associateBy { it.id }
 
@@ -20,7 +25,8 @@
         records.calls.flatMap { violationsOf(it) } +
         records.jobs.flatMap { violationsOf(it) } +
         runs.flatMap { (server, request) -> violationsOf(server, request) } +
-        rateViolations()
+        rateViolations() +
+        leaving.violations()
 
     private fun violationsOf(call: SoakCall): List<String> = buildList {
         val runCount = runsById[call.id].orEmpty().size
--- a/soak/src/test/kotlin/ragwortbarrow/soak/SoakPlanTest.kt
+++ b/soak/src/test/kotlin/ragwortbarrow/soak/SoakPlanTest.kt
@@ -15,11 +15,20 @@
         expectThat(soakPlan(7, 60, size)).isNotEqualTo(soakPlan(8, 60, size))
     }
 
+    @Test
+    fun `troubles of servers change no other fault`() {
+        val troubled = soakPlan(7, 60, size, ServerTrouble.entries.toSet())
+        expectThat(troubled.filter { it in soakPlan(7, 60, size) }).isEqualTo(soakPlan(7, 60, size))
+        val crashes = soakPlan(7, 60, size, setOf(ServerTrouble.CRASH))
+        expectThat(crashes.filter { it.fault is SoakFault.CrashSeries })
+            .isEqualTo(troubled.filter { it.fault is SoakFault.CrashSeries })
+    }
+
     @Test
     fun `plans hold every kind of fault, and faults that overlap`() {
-        val plans = (1L..30L).map { soakPlan(it, 60, size) }
+        val plans = (1L..30L).map { soakPlan(it, 60, size, ServerTrouble.entries.toSet()) }
         val kinds = plans.flatten().map { it.fault::class }.toSet()
-        expectThat(kinds.size).isEqualTo(11)
+        expectThat(kinds.size).isEqualTo(13)
         val overlapping = plans.flatMap { plan ->
             plan.zipWithNext().filter { (a, b) ->
                 b.atMillis <
--- a/soak/src/test/kotlin/ragwortbarrow/soak/SoakVerifierTest.kt
+++ b/soak/src/test/kotlin/ragwortbarrow/soak/SoakVerifierTest.kt
@@ -16,7 +16,14 @@
     private val itemFailures = HashMap<String, Int>()
     private val serverStatuses = HashMap<String, Set<Int>>()
     private val violations
-        get() = SoakVerifier(records, disturbances, runs, itemFailures, serverStatuses).violations()
+        get() = SoakVerifier(
+            records,
+            disturbances,
+            runs,
+            itemFailures,
+            serverStatuses,
+            nodes = listOf("node-1", "node-2"),
+        ).violations()
 
     private val call = SoakCall(
         id = "c1",
@@ -152,6 +159,45 @@
         expectOnly("DRAIN")
     }
 
+    /** Lets [node] pass on at [atMillis] what the server i-1 stated. */
+    private fun passOn(node: String, atMillis: Long, isLeaving: Boolean = false) {
+        val id = "passed-${runs.size}"
+        val answer = ServerAnswer("i-1", atMillis, isLeaving)
+        val body = ServerScript.bodyOf(id)
+        records.calls += call.copy(id = id, node = node, sentMillis = atMillis, body = body, serverAnswer = answer)
+        ran(id = id, server = "i-0", atMillis = atMillis)
+    }
+
+    @Test
+    fun `a server that said that it leaves gets a request too late, unless the node was interrupted`() {
+        passOn("node-1", atMillis = 7_900, isLeaving = true)
+        records.calls += call.copy(sentMillis = 9_900)
+        ran()
+        expectThat(violations).isEmpty()
+        records.calls.clear()
+        passOn("node-1", atMillis = 7_900, isLeaving = true)
+        records.calls += call
+        expectOnly("DRAIN")
+        records.calls.clear()
+        val laterMillis = nowMillis() + 10_000
+        records.interruptions.begin(setOf("node-1"))
+        passOn("node-1", atMillis = laterMillis - 3_000, isLeaving = true)
+        records.calls += call.copy(sentMillis = laterMillis)
+        runs.clear()
+        ran(atMillis = laterMillis + 10)
+        expectThat(violations).isEmpty()
+    }
+
+    @Test
+    fun `a server that said that it leaves gets an item too late, after each node had passed it on`() {
+        records.jobs += SoakJob("j1", listOf("j1-1"), sentMillis = 10_000).also { it.statuses += 0 }
+        ran(id = "j1-1")
+        passOn("node-1", atMillis = 7_900, isLeaving = true)
+        expectThat(violations).isEmpty()
+        passOn("node-2", atMillis = 7_900, isLeaving = true)
+        expectOnly("DRAIN")
+    }
+
     @Test
     fun `a graceful stop cuts a request that had been read`() {
         records.calls += call.copy(status = 0, isStamped = false, isComplete = false)
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorRunnerStandIn.kt
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.locks.LockSupport
@@ -22,6 +23,7 @@
     private val connections: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
 
     @Volatile private var isClosed = false
+    private val isDown = AtomicBoolean()
     private val executor = Executors.newCachedThreadPool()
     private val upcoming = ConcurrentLinkedQueue(behaviours.toList())
 
@@ -56,7 +58,7 @@
     /** Bytes of events sent by [RunnerBehaviour.Endless]. */
     val endlessBytes = AtomicLong()
 
-    /** Number of [RunnerBehaviour.Crash]es. */
+    /** Number of times that the runner went down. */
     val crashes = AtomicInteger()
 
     val address: String get() = "127.0.0.1:$port"
@@ -72,16 +74,24 @@
         }
     }
 
-    private fun crash(outageMillis: Long) {
+    /** Closes all connections and refuses new ones for [outageMillis]; has no effect while the runner is down. */
+    fun crash(outageMillis: Long) {
+        if (!isDown.compareAndSet(false, true)) return
         crashes.incrementAndGet()
         socket.close()
         connections.forEach { it.close() }
-        LockSupport.parkNanos(outageMillis * 1_000_000)
-        if (isClosed) return
+        executor.execute {
+            LockSupport.parkNanos(outageMillis * 1_000_000)
+            if (!isClosed) restart()
+        }
+    }
+
+    private fun restart() {
         socket = ServerSocket().apply {
             reuseAddress = true
             bind(InetSocketAddress(LOOPBACK, port), BACKLOG)
         }
+        isDown.set(false)
         accept(socket)
     }
 
@@ -215,6 +225,7 @@
                 return false
             }
             is RunnerBehaviour.Crash -> {
+                LockSupport.parkNanos(behaviour.delayMillis * 1_000_000)
                 crash(behaviour.outageMillis)
                 return false
             }
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/RunnerBehaviour.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/RunnerBehaviour.kt
@@ -76,6 +76,9 @@
     /** The first [sentBytes] of a complete response, after which the connection is closed. */
     data class CutOff(val body: String, val sentBytes: Int) : RunnerBehaviour
 
-    /** Closes all connections and refuses new ones for [outageMillis], as a process that ends and starts again. */
-    data class Crash(val outageMillis: Long) : RunnerBehaviour
+    /**
+     * Closes all connections and refuses new ones for [outageMillis], as a process that ends and starts again.
+     * [delayMillis] is the time until the response would have begun.
+     */
+    data class Crash(val outageMillis: Long, val delayMillis: Long = 0) : RunnerBehaviour
 }
