Soak: servers name limits of their requests

Nothing in the soak noticed that servers got more than they had said they take. Servers now name limits between 0 and 40 requests a second, sometimes malformed ones, for some seconds (--trouble limit), beside all other faults. The verifier counts what reached each of them in any 4 s, from 3 s after the first such answer, from the nodes that had passed one on half a second before and were in touch. SoakVerifierTest, SoakPlanTest, SecondCopiesTest, formatter and linter pass.

--- a/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
@@ -45,9 +45,11 @@
 
     private fun apply(fault: SoakFault, durationMillis: Long) = when (fault) {
         is SoakFault.Link -> fleet.links.getValue(fault.link).let { link ->
+            val end = records.linkFaults.begin(setOf(fault.link))
             link.setFault(fault.fault)
             pause(durationMillis)
             link.setFault(LinkFault.None)
+            end()
         }
         is SoakFault.Freeze -> interrupt(fault.node) { process ->
             process.freeze()
@@ -77,6 +79,7 @@
         SoakFault.StoreForgetsHistory -> fleet.store.dropHistory()
         is SoakFault.Drain -> servers.drain(fault.server)
         is SoakFault.Leave -> servers.leave(fault, durationMillis)
+        is SoakFault.Limit -> servers.limit(fault, durationMillis)
         is SoakFault.CrashSeries -> servers.crash(fault, durationMillis)
         SoakFault.ChangeConfiguration -> fleet.publishConfiguration()
         SoakFault.WithdrawKey -> withdraw(durationMillis)
--- a/soak/src/main/kotlin/ragwortbarrow/soak/ServerFaultInjector.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/ServerFaultInjector.kt
@@ -34,6 +34,18 @@
         runner.close()
     }
 
+    fun limit(fault: SoakFault.Limit, durationMillis: Long) {
+        val runner = fleet.server(fault.server)
+        // Limits of the same server follow each other.
+        synchronized(runner) {
+            val fromMillis = nowMillis()
+            runner.requestLimit = fault.limit
+            pause(durationMillis + EXTRA_LIMITED_MILLIS)
+            records.limits += ServerLimit(runner.id, serverLink(fault.server), fault.limit, fromMillis, nowMillis())
+            runner.requestLimit = null
+        }
+    }
+
     fun crash(fault: SoakFault.CrashSeries, durationMillis: Long) {
         for (server in fault.servers) {
             fleet.server(server).crash(durationMillis)
@@ -48,5 +60,6 @@
 
         /** Leaves time for requests to arrive after the nodes had to apply what a server says. */
         const val EXTRA_LEAVING_MILLIS = 2_500L
+        const val EXTRA_LIMITED_MILLIS = 6_000L
     }
 }
--- a/soak/src/main/kotlin/ragwortbarrow/soak/ServerTrouble.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/ServerTrouble.kt
@@ -9,6 +9,9 @@
 
     /** Servers crash in series. */
     CRASH,
+
+    /** Servers name limits of their requests. */
+    LIMIT,
 }
 
 /** Draws the faults of one trouble between [fromMillis] and [untilMillis]. */
@@ -31,6 +34,7 @@
         ServerTrouble.LEAVE -> listOf(SoakFault.Leave(servers.first(), isDraining = random.nextBoolean()))
         ServerTrouble.CRASH ->
             listOf(SoakFault.CrashSeries(servers.take(random.nextInt(2, 5)), gapMillis = random.nextLong(1_000)))
+        ServerTrouble.LIMIT -> servers.take(random.nextInt(1, 4)).map { SoakFault.Limit(it, drawLimit(random)) }
     }
 }
 
@@ -38,3 +42,10 @@
 private const val MAX_GAP_MILLIS = 2_500L
 private const val MIN_DURATION_MILLIS = 300L
 private const val MAX_DURATION_MILLIS = 6_000L
+
+private fun drawLimit(random: Random) = if (random.nextInt(8) == 0) NO_LIMITS.random(random) else LIMITS.random(random)
+
+private val LIMITS = listOf("0", "0.4", "1", "2.6", "5", "12.5", "40")
+
+/** Values that are not valid. */
+private val NO_LIMITS = listOf("", "-1", "NaN", "1e400")
--- a/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
@@ -114,6 +114,7 @@
     }
 
     companion object {
+        /** Limits are not among them: nodes do not keep them yet. */
         val DEFAULT_TROUBLES = setOf(ServerTrouble.LEAVE, ServerTrouble.CRASH)
         private const val JOB_CALLERS = 4
 
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakCallers.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakCallers.kt
@@ -83,6 +83,7 @@
             server = stamp.removePrefix("stamp-"),
             atMillis = nowMillis(),
             isLeaving = headers.firstValue("Server-Leaving").getOrNull() == "1",
+            requestLimit = headers.firstValue("Server-Limit").getOrNull(),
         )
     }
 
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakFault.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakFault.kt
@@ -57,6 +57,11 @@
         override val targets = emptySet<String>()
     }
 
+    /** A backend server names [limit], in requests per second if it is valid, in its responses. */
+    data class Limit(val server: Int, val limit: String) : SoakFault {
+        override val targets = emptySet<String>()
+    }
+
     /** Backend servers crash one after the other, [gapMillis] apart, and start again. */
     data class CrashSeries(val servers: List<Int>, val gapMillis: Long) : SoakFault {
         override val targets = emptySet<String>()
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakRecords.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakRecords.kt
@@ -30,7 +30,12 @@
 )
 
 /** What [server] stated about itself in a response that a node had passed on at [atMillis]. */
-internal data class ServerAnswer(val server: String, val atMillis: Long, val isLeaving: Boolean = false)
+internal data class ServerAnswer(
+    val server: String,
+    val atMillis: Long,
+    val isLeaving: Boolean = false,
+    val requestLimit: String? = null,
+)
 
 /** Result of one item of a batch job. */
 internal data class SoakResult(val item: String, val state: String, val output: String)
@@ -60,9 +65,13 @@
     val withdrawals = ConcurrentLinkedQueue<KeyWithdrawal>()
     val drains = ConcurrentLinkedQueue<ServerDrain>()
     val restarts = ConcurrentLinkedQueue<NodeRestart>()
+    val limits = ConcurrentLinkedQueue<ServerLimit>()
 
     /** Times when the process of a node was paused or not running. */
     val interruptions = Disturbances()
+
+    /** Times when a link had a fault. */
+    val linkFaults = Disturbances()
 }
 
 /** The store acknowledged at [atMillis] that [key] is withdrawn, and at [untilMillis] that it is granted again. */
@@ -73,3 +82,15 @@
 
 /** [node] was stopped gracefully at [fromMillis], and its process had ended at [untilMillis]. */
 internal data class NodeRestart(val node: String, val fromMillis: Long, val untilMillis: Long)
+
+/** [server], behind [link], named [limit] in its responses between [fromMillis] and [untilMillis]. */
+internal data class ServerLimit(
+    val server: String,
+    val link: String,
+    val limit: String,
+    val fromMillis: Long,
+    val untilMillis: Long,
+) {
+    /** Null if [limit] is not valid. */
+    val requestsPerSecond: Double? get() = limit.toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
+}
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakVerifier.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakVerifier.kt
@@ -18,6 +18,7 @@
 ) {
     private val answers = PassedAnswers(records, nodes)
     private val leaving = LeavingVerifier(records, answers, received)
+    private val limits = LimitVerifier(records, disturbances, answers, received)
     private val runsById = runs.groupBy { it.second.header("X-Request-Id").orEmpty() }
     private val callsById = records.calls.associateBy { it.id }
 
@@ -26,7 +27,8 @@
         records.jobs.flatMap { violationsOf(it) } +
         runs.flatMap { (server, request) -> violationsOf(server, request) } +
         rateViolations() +
-        leaving.violations()
+        leaving.violations() +
+        limits.violations()
 
     private fun violationsOf(call: SoakCall): List<String> = buildList {
         val runCount = runsById[call.id].orEmpty().size
--- a/soak/src/test/kotlin/ragwortbarrow/soak/SoakVerifierTest.kt
+++ b/soak/src/test/kotlin/ragwortbarrow/soak/SoakVerifierTest.kt
@@ -160,9 +160,9 @@
     }
 
     /** Lets [node] pass on at [atMillis] what the server i-1 stated. */
-    private fun passOn(node: String, atMillis: Long, isLeaving: Boolean = false) {
+    private fun passOn(node: String, atMillis: Long, isLeaving: Boolean = false, requestLimit: String? = null) {
         val id = "passed-${runs.size}"
-        val answer = ServerAnswer("i-1", atMillis, isLeaving)
+        val answer = ServerAnswer("i-1", atMillis, isLeaving, requestLimit)
         val body = ServerScript.bodyOf(id)
         records.calls += call.copy(id = id, node = node, sentMillis = atMillis, body = body, serverAnswer = answer)
         ran(id = id, server = "i-0", atMillis = atMillis)
@@ -198,6 +198,43 @@
         expectOnly("DRAIN")
     }
 
+    @Test
+    fun `a server gets more requests than the limit that it names, unless the nodes were disconnected`() {
+        records.limits += ServerLimit("i-1", serverLink(1), "2.5", fromMillis = 9_000, untilMillis = 20_000)
+        passOn("node-1", atMillis = 10_000, requestLimit = "2.5")
+        fun send(count: Int, node: String) = repeat(count) {
+            val id = "$node-$it"
+            val sentMillis = 13_000L + 100 * it
+            records.calls += call.copy(id = id, node = node, sentMillis = sentMillis, body = ServerScript.bodyOf(id))
+            ran(id = id, atMillis = sentMillis)
+        }
+        send(20, "node-1")
+        expectThat(violations).isEmpty()
+        send(1, "node-2")
+        expectThat(violations).isEmpty()
+        passOn("node-2", atMillis = 12_400, requestLimit = "2.5")
+        expectOnly("LIMIT")
+        passOn("node-2", atMillis = 12_400, requestLimit = "2.5")
+        records.limits.clear()
+        records.limits += ServerLimit("i-1", serverLink(1), "2.5x", fromMillis = 9_000, untilMillis = 20_000)
+        expectThat(violations).isEmpty()
+    }
+
+    @Test
+    fun `items of jobs count towards the limit of a server, and nodes that were interrupted do not`() {
+        val startMillis = nowMillis() + 10_000
+        val limit = ServerLimit("i-1", serverLink(1), "0", startMillis, startMillis + 10_000)
+        records.limits += limit
+        records.jobs += SoakJob("j1", List(6) { "j1-$it" }, startMillis).also { it.statuses += 0 }
+        repeat(6) { ran(id = "j1-$it", atMillis = startMillis + 4_000) }
+        passOn("node-1", startMillis + 100, requestLimit = "0")
+        expectThat(violations).isEmpty()
+        passOn("node-2", startMillis + 100, requestLimit = "0")
+        expectOnly("LIMIT")
+        records.interruptions.begin(setOf("node-2"))
+        expectThat(violations).isEmpty()
+    }
+
     @Test
     fun `a graceful stop cuts a request that had been read`() {
         records.calls += call.copy(status = 0, isStamped = false, isComplete = false)
