--- a/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
@@ -114,8 +114,7 @@
     }
 
     companion object {
-        /** Limits are not among them: nodes do not keep them yet. */
-        val DEFAULT_TROUBLES = setOf(ServerTrouble.LEAVE, ServerTrouble.CRASH)
+        val DEFAULT_TROUBLES = ServerTrouble.entries.toSet()
         private const val JOB_CALLERS = 4
 
         /** The completion target of jobs is 18 s after their submission. */
