Send no request to a failed server because sound ones take no more

Cause: permits were applied before health. Where the sound servers of a service had taken what they take, the candidates were empty, which used to mean that all servers had failed: the request went to a failing server, or as the one trial to a dead one. Callers saw 502 or 504, may have run, in place of 503, not run, at once. Change: health decides first, permits after it. Evidence: OnlinePlacementTest, a request that sound servers take no more goes to no server that failed: failed before, passes.

--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -176,6 +176,7 @@
         return when {
             tracker.eligible(request.service, request.excludedServers).isNotEmpty() ->
                 Placement.NoServer(DEFAULT_RETRY_MILLIS)
+            tracker.isLimited(request.service, request.excludedServers) -> limitedByServers(limited, request)
             trial != null -> Placement.Send(trial, 0.0)
             limited.isNotEmpty() -> limitedByServers(limited, request)
             else -> Placement.NoServer(DEFAULT_RETRY_MILLIS)
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
@@ -118,13 +118,19 @@
         excludedServers: Set<BackendServerId> = emptySet(),
         isBatch: Boolean = false,
     ): List<BackendServer> {
+        // A server that failed does not become eligible because sound ones take no more requests now.
+        return sound(service, excludedServers).filter { permits.waitMillis(it, isSpare = isBatch) == 0.0 }
+    }
+
+    /** Whether a server of [service] would be eligible if it took more requests now. */
+    fun isLimited(service: String, excludedServers: Set<BackendServerId>): Boolean =
+        sound(service, excludedServers).any { permits.waitMillis(it, isSpare = false) != 0.0 }
+
+    private fun sound(service: String, excludedServers: Set<BackendServerId>): List<BackendServer> {
         val ofService = serversByService[service] ?: return emptyList()
         val nowMillis = timer.monotonicMillis()
         val candidates = ofService.filter {
-            !it.isDraining &&
-                it.id !in excludedServers &&
-                (blockedUntilMillis[it.id] ?: 0) <= nowMillis &&
-                permits.waitMillis(it, isSpare = isBatch) == 0.0
+            !it.isDraining && it.id !in excludedServers && (blockedUntilMillis[it.id] ?: 0) <= nowMillis
         }
         val healthy = candidates.filter { health.isAvailable(it.id) && !isStalled(it.id) }
         return healthy.filter { !isFailing(it.id) }.ifEmpty { healthy }
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
@@ -208,6 +208,19 @@
         expectThat(retriesMillis.max()).isIn(700L..750L)
     }
 
+    @Test
+    fun `a request that sound servers take no more goes to no server that failed`() {
+        val permits = Limited(setOf("a"), savedCount = 0, intervalMillis = 500.0)
+        val limitedTracker = ServerTracker(timer, permits = permits)
+        limitedTracker.replace(listOf(server("a"), server("dead"), server("failing")))
+        repeat(8) {
+            limitedTracker.recordFailure(BackendServerId("dead"))
+            limitedTracker.recordOnlineOutcome(BackendServerId("failing"), isAnswered = false)
+        }
+        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, Random(7))
+        repeat(20) { expectThat(limitedPlacement.place(request)).isA<Placement.Full>() }
+    }
+
     /** A server that runs [slots] requests at a time and queues the others in order of arrival. */
     private class FifoServer(private val slots: Int) {
         private val requests = ArrayList<Pair<Long, Long>>()
