Keep a limit while the list of servers is older than what the server says

Cause: a limit bound only for the listed incarnation. While the list still showed the old process, or no longer told the incarnation, the node took the server for unlimited and ignored its own responses. Change: a limit binds unless the list shows a newer process; an incarnation that is not told may be the same process. Evidence: two new tests of ServerLimitsTest failed before and pass.

--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -118,9 +118,12 @@
         unreadable.keys.retainAll(servers.keys)
     }
 
-    /** Whether a server's process with [incarnation] has ended if the one with [newest] is known. */
+    /**
+     * Whether a server's process with [incarnation] has ended if the one with [newest] is known. A server that does not
+     * tell its incarnation may still run the same process.
+     */
     private fun hasEnded(incarnation: Long?, newest: Long?) =
-        incarnation != newest && (incarnation == null || newest == null || incarnation < newest)
+        incarnation != null && newest != null && incarnation < newest
 
     override fun waitMillis(server: BackendServer, isSpare: Boolean): Double? {
         if (statements.isEmpty()) return 0.0
@@ -133,8 +136,10 @@
         share(server, statement)?.recordSend(timer.nanoTime())
     }
 
-    private fun limiting(server: BackendServer): Statement? =
-        statements[server.id]?.takeIf { it.requestsPerSecond != null && it.incarnation == server.incarnation }
+    /** The limit that binds; the list of servers may be older than what the server's new process says. */
+    private fun limiting(server: BackendServer): Statement? = statements[server.id]?.takeIf {
+        it.requestsPerSecond != null && !hasEnded(it.incarnation, server.incarnation)
+    }
 
     private fun share(server: BackendServer, statement: Statement): LimitShare? {
         val requestsPerSecond = statement.requestsPerSecond ?: return null
--- a/core/src/test/kotlin/ragwortbarrow/core/serverlimit/ServerLimitsTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/serverlimit/ServerLimitsTest.kt
@@ -105,6 +105,22 @@
         expectThat(limits.size).isEqualTo(1)
     }
 
+    @Test
+    fun `a limit of a new process binds while the list of servers shows the old one`() {
+        report(1.0, ageMillis = 0, incarnation = 6)
+        expectThat(waitMillis()).isNotNull().isGreaterThan(0.0)
+    }
+
+    @Test
+    fun `a server whose entry no longer tells its incarnation keeps its limit`() {
+        limit(1.0)
+        val untold = server.copy(incarnation = null)
+        limits.retain(listOf(untold))
+        expectThat(limits.waitMillis(untold, isSpare = false)).isNotNull().isGreaterThan(0.0)
+        limits.recordResponse(untold, RequestLimit.None)
+        expectThat(limits.waitMillis(untold, isSpare = false)).isEqualTo(0.0)
+    }
+
     @Test
     fun `what a peer read earlier does not replace what this node read later`() {
         limit(1.0)
