See the end of a limit whose holders have no requests, and share it among more nodes

Cause: only the nodes that hold a limit sent requests. Change: if no node has had a response for 8 s, the others send one request in turn. A limit has two holders per request per second in place of one, each with half the rate and nothing saved up beyond a request, so the sum over any time is bounded as before and fewer nodes are without a share. All other tests of ServerLimitFleetTest and ServerLimitsTest pass.

--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
@@ -6,9 +6,9 @@
 import ragwortbarrow.core.placement.BackendServer
 
 /**
- * Chooses the nodes that send requests to a backend server with a limit: about one for each request per second, those
- * of the server's failure domain first. With more nodes, each could send less than one request in the time in which
- * the limit is kept, and the sum of their first requests would exceed it.
+ * Chooses the nodes that send requests to a backend server with a limit: two for each request per second, those of the
+ * server's failure domain first. Each may send a request after an idle time, so the sum over more nodes would exceed
+ * the limit.
  *
  * All members count, unreachable ones too: they may run behind a partition and send what they held before.
  */
@@ -24,16 +24,21 @@
     /** Grows when other nodes may be chosen. */
     val changeCount: Int get() = members.changeCount + ownChangeCount
 
-    /** The number of nodes that share the limit of [server]; 0 if this node is none of them. */
-    fun count(server: BackendServer, requestsPerSecond: Double): Int {
-        if (isLeaving) return 0
+    /** The place of this node for [server]; null if it leaves. */
+    internal fun rank(server: BackendServer, requestsPerSecond: Double): HolderRank? {
+        if (isLeaving) return null
         val nodes = members.notLeaving() + members.self
         val (near, far) = nodes.partition { it.failureDomain == server.failureDomain }
         val ranked = rank(server, near) + rank(server, far)
-        val holders = ranked.take(requestsPerSecond.toInt().coerceIn(1, nodes.size))
-        return if (members.self in holders) holders.size else 0
+        val holders = (requestsPerSecond * NODES_PER_REQUEST).toInt().coerceIn(1, nodes.size)
+        return HolderRank(ranked.indexOf(members.self), holders)
     }
 
     private fun rank(server: BackendServer, nodes: List<FleetNode>) =
         RendezvousHash.rank(server.id.value, nodes) { it.vm.value }
+
+    private companion object {
+        /** Nodes per request per second; each of them sends one in two seconds. */
+        const val NODES_PER_REQUEST = 2
+    }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -15,7 +15,8 @@
  *
  * A node that becomes a holder waits for [SETTLE_NANOS], in which the former holder learns of the change. A holder of
  * a limit near zero still sends a request per [PROBE_INTERVAL_MILLIS], whose response shows whether the limit has
- * ended. Confined to one thread.
+ * ended. If no node has had a response for longer, because the holders have no requests or cannot reach the server,
+ * the others send one in turn. Confined to one thread.
  */
 class ServerLimits(private val holders: LimitHolders, private val timer: TimerService, private val log: DecisionLog) :
     SendPermits {
@@ -32,6 +33,12 @@
         /** The [LimitHolders.changeCount] for which [share] was decided; null if it has to be decided again. */
         var sharedAtChange: Int? = null
 
+        /** The place for which [share] was decided. */
+        var rank: HolderRank? = null
+
+        /** When this node last sent a request without a share. */
+        var probedNanos: Long? = null
+
         /** Whether nodes have shared a limit of this process before, so that another one may hold the share. */
         var wasShared = false
     }
@@ -66,6 +73,8 @@
         val known = statements.put(server, statement)
         if (known?.requestsPerSecond != null && known.incarnation == statement.incarnation) {
             statement.share = known.share
+            statement.rank = known.rank
+            statement.probedNanos = known.probedNanos
             statement.wasShared = true
             if (known.requestsPerSecond == statement.requestsPerSecond) {
                 statement.sharedAtChange = known.sharedAtChange
@@ -128,12 +137,22 @@
     override fun waitMillis(server: BackendServer, isSpare: Boolean): Double? {
         if (statements.isEmpty()) return 0.0
         val statement = limiting(server) ?: return 0.0
-        return share(server, statement)?.waitMillis(timer.nanoTime(), isSpare)
+        val nowNanos = timer.nanoTime()
+        return share(server, statement)?.waitMillis(nowNanos, isSpare) ?: probeWaitMillis(statement, nowNanos)
+    }
+
+    /** The time until this node may send a request although it holds no share; null if it leaves. */
+    private fun probeWaitMillis(statement: Statement, nowNanos: Long): Double? {
+        val rank = statement.rank ?: return null
+        val heardNanos = maxOf(statement.atNanos, statement.probedNanos ?: Long.MIN_VALUE)
+        val pauseMillis = UNHEARD_MILLIS + (rank.rank - rank.holders) * PROBE_STAGGER_MILLIS
+        return (pauseMillis - (nowNanos - heardNanos) / NANOS_PER_MILLI).toDouble().coerceAtLeast(0.0)
     }
 
     override fun recordSend(server: BackendServer) {
         val statement = limiting(server) ?: return
-        share(server, statement)?.recordSend(timer.nanoTime())
+        val share = share(server, statement)
+        if (share != null) share.recordSend(timer.nanoTime()) else statement.probedNanos = timer.nanoTime()
     }
 
     /** The limit that binds; the list of servers may be older than what the server's new process says. */
@@ -145,11 +164,12 @@
         val requestsPerSecond = statement.requestsPerSecond ?: return null
         val changeCount = holders.changeCount
         if (statement.sharedAtChange == changeCount) return statement.share
-        val count = holders.count(server, requestsPerSecond)
-        statement.share = if (count == 0) {
-            null
+        val rank = holders.rank(server, requestsPerSecond)
+        statement.rank = rank
+        statement.share = if (rank?.isHolder == true) {
+            updatedShare(statement, intervalMillis(rank.holders, requestsPerSecond))
         } else {
-            updatedShare(statement, intervalMillis(count, requestsPerSecond))
+            null
         }
         statement.sharedAtChange = changeCount
         statement.wasShared = true
@@ -178,6 +198,10 @@
         /** Longest time between two requests to a server with a limit near zero. */
         const val PROBE_INTERVAL_MILLIS = 5_000.0
 
+        /** Time without a response to any node after which nodes without a share send a request, one after the other. */
+        const val UNHEARD_MILLIS = 8_000L
+        const val PROBE_STAGGER_MILLIS = 1_000L
+
         /** Time in which all nodes learn that a limit has ended. */
         const val REPORT_END_MILLIS = 10_000L
 
--- a/core/src/test/kotlin/ragwortbarrow/core/serverlimit/ServerLimitsTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/serverlimit/ServerLimitsTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 
@@ -155,12 +156,12 @@
         // One of many servers whose limit another node holds.
         members.recordContact(node("vm-2"), isLeaving = false)
         val held = (1..50).map { server("i-$it", incarnation = 5) }.first {
-            limit(1.0, it)
-            limits.waitMillis(it, isSpare = false) == null
+            limit(0.5, it)
+            (limits.waitMillis(it, isSpare = false) ?: 0.0) >= 8_000.0
         }
         members.recordContact(node("vm-2"), isLeaving = true)
         timer.advance(10)
-        expectThat(limits.waitMillis(held, isSpare = false)).isNotNull().isGreaterThan(3_000.0)
+        expectThat(limits.waitMillis(held, isSpare = false)).isNotNull().isIn(3_000.0..5_000.0)
     }
 
     @Test
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerLimitFleetTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerLimitFleetTest.kt
@@ -52,6 +52,7 @@
         )
         var isAlive = true
         var partition = 0
+        var sentCount = 0
         val members = FleetMembers(self, timer)
         val holders = LimitHolders(members)
         val limits = ServerLimits(holders, timer, DecisionLog.NONE)
@@ -70,6 +71,7 @@
             if (!isAlive || tracker.eligible("engines").isEmpty()) return
             tracker.recordEnd(server.id, isBatch = false, tracker.recordStart(server.id, isBatch = false))
             arrivalsMillis += nowMillis
+            sentCount++
             limits.recordResponse(server, limit)
         }
 
@@ -106,10 +108,10 @@
         timer.advance(5_000)
     }
 
-    /** All nodes send as many requests as they may for [millis]. */
-    private fun load(millis: Long) = repeat((millis / STEP_MILLIS).toInt()) {
+    /** All nodes, or only the [senders], send as many requests as they may for [millis]. */
+    private fun load(millis: Long, senders: List<Node>? = null) = repeat((millis / STEP_MILLIS).toInt()) {
         timer.advance(STEP_MILLIS)
-        nodes.values.toList().forEach { it.sendIfPermitted() }
+        (senders ?: nodes.values.toList()).forEach { it.sendIfPermitted() }
     }
 
     /** Names [requestsPerSecond] in all responses from now on, and waits until that binds. */
@@ -197,6 +199,21 @@
         expectThat(nodes.values.count { it.limits.size == 0 }).isEqualTo(9)
     }
 
+    @Test
+    fun `the end of a limit is seen although the nodes that hold it have no requests`() {
+        fleet(domains = 3, size = 3)
+        name(0.0)
+        load(20_000)
+        val sent = nodes.values.associateWith { it.sentCount }
+        val holder = sent.maxBy { it.value }.key
+        val others = nodes.values - holder
+        load(30_000, others)
+        expectThat(mostInWindow()).isLessThanOrEqualTo(allowedInWindow(0.0))
+        limit = RequestLimit.None
+        load(20_000, others)
+        expectThat(nodes.values.count { it.limits.size == 0 }).isEqualTo(9)
+    }
+
     private companion object {
         const val STEP_MILLIS = 20L
         const val CONTACT_MILLIS = 3_000L
