Choose the holders of limits again only when members join or leave

Cause: each member that became reachable again made every node rank all members for each server with a limit, with two hashes a comparison. Change: the ranking hashes each member once, and FleetMembers.compositionCount grows only when members join or leave. Evidence: FleetMembersTest, the composition changes when a member joins or leaves (new); the time of a ranking was not measured again.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -37,6 +37,10 @@
     var changeCount = 0
         private set
 
+    /** Grows when [notLeaving] changes, but not when members become reachable or unreachable. */
+    var compositionCount = 0
+        private set
+
     /** All other members, including unreachable ones. */
     fun others(): List<FleetNode> = members.values.map { it.node }
 
@@ -86,6 +90,7 @@
         }
         members[node.vm] = Member(node, timer.monotonicMillis(), isLeaving = false, hadContact = false)
         changeCount++
+        compositionCount++
         return true
     }
 
@@ -96,6 +101,7 @@
         if (member == null) {
             members[node.vm] = Member(node, timer.monotonicMillis(), isLeaving, hadContact = true)
             changeCount++
+            compositionCount++
             return true
         }
         if (node.incarnation < member.node.incarnation) return false
@@ -103,6 +109,7 @@
             !member.hadContact ||
             node.incarnation != member.node.incarnation ||
             isLeaving != member.isLeaving
+        if (isLeaving != member.isLeaving) compositionCount++
         member.node = node
         member.lastContactMillis = timer.monotonicMillis()
         member.isLeaving = isLeaving
@@ -123,12 +130,14 @@
             members[node.vm] =
                 Member(node, reportedMillis, report.isLeaving, hadContact = true).also { it.isRelayed = true }
             changeCount++
+            compositionCount++
             return true
         }
         if (node.incarnation < member.node.incarnation) return false
         if (member.hadContact && reportedMillis <= member.lastContactMillis) return false
         val wasReachable = isReachable(member) && member.hadContact && node.incarnation == member.node.incarnation
         val startedLeaving = report.isLeaving && !member.isLeaving
+        if (report.isLeaving != member.isLeaving) compositionCount++
         member.node = node
         member.lastContactMillis = reportedMillis
         member.isLeaving = report.isLeaving
@@ -150,7 +159,10 @@
         val nowMillis = timer.monotonicMillis()
         val expired = members.values.filter { nowMillis - it.lastContactMillis > expireAfterMillis }.map { it.node }
         expired.forEach { members.remove(it.vm) }
-        if (expired.isNotEmpty()) changeCount++
+        if (expired.isNotEmpty()) {
+            changeCount++
+            compositionCount++
+        }
         return expired
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/membership/RendezvousHash.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/membership/RendezvousHash.kt
@@ -9,7 +9,9 @@
 object RendezvousHash {
     /** Returns [candidates] by descending score for [key]. */
     fun <T> rank(key: String, candidates: Collection<T>, name: (T) -> String): List<T> =
-        candidates.sortedWith(compareByDescending<T> { score(key, name(it)) }.thenBy { name(it) })
+        candidates.map { it to score(key, name(it)) }
+            .sortedWith(compareByDescending<Pair<T, Long>> { it.second }.thenBy { name(it.first) })
+            .map { it.first }
 
     /** Returns the first candidate of [rank], or null if there are no candidates. */
     fun <T> choose(key: String, candidates: Collection<T>, name: (T) -> String): T? =
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
@@ -22,7 +22,7 @@
     private var ownChangeCount = 0
 
     /** Grows when other nodes may be chosen. */
-    val changeCount: Int get() = members.changeCount + ownChangeCount
+    val changeCount: Int get() = members.compositionCount + ownChangeCount
 
     /** The place of this node for [server]; null if it leaves. */
     internal fun rank(server: BackendServer, requestsPerSecond: Double): HolderRank? {
--- a/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
@@ -32,6 +32,17 @@
         expectThat(members.size).isEqualTo(1)
     }
 
+    @Test
+    fun `the composition changes when a member joins or leaves, not when it is unreachable or restarts`() {
+        members.recordContact(other, isLeaving = false)
+        val before = members.compositionCount
+        timer.advance(2_000)
+        members.recordContact(other.copy(incarnation = 6), isLeaving = false)
+        expectThat(members.compositionCount).isEqualTo(before)
+        members.recordContact(other.copy(incarnation = 6), isLeaving = true)
+        expectThat(members.compositionCount).isEqualTo(before + 1)
+    }
+
     @Test
     fun `a restarted node is a different job holder than before`() {
         members.recordContact(other, isLeaving = false)
