Believe late reports, unstamped responses and falling limits less

Cause: three ways to more requests than a server takes, found by the review. A peer's word that a limit had ended counted as new by the age that it had when it was sent, also after a long way; a success without a stamp, which is treated as broken, ended a limit; what was saved up at a higher rate was used after the limit had fallen (20 to 2 a second: 19 in 4 s where 17 are allowed, measured by the review). Change: an own limit ends only by a report that is half a second newer; such a success says nothing; a slower rate saves nothing up. Evidence: two new tests of ServerLimitsTest and one that is stricter; the path of an unstamped success has no test of its own.

--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitShare.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitShare.kt
@@ -7,7 +7,7 @@
  * [BURST_MILLIS], since online load jumps for some seconds. A share that begins at `startNanos` has nothing
  * saved up.
  */
-internal class LimitShare(var intervalMillis: Double, startNanos: Long) {
+internal class LimitShare(private var intervalMillis: Double, startNanos: Long) {
     /** When all requests that were sent would have been due at a steady rate. */
     private var usedUntilMillis = millis(startNanos) + intervalMillis + savedMillis
 
@@ -19,6 +19,13 @@
         return (usedUntilMillis - savedMillis + reservedMillis - millis(nowNanos)).coerceAtLeast(0.0)
     }
 
+    /** Changes the rate; what was saved up at a higher rate is lost. */
+    fun changeInterval(millis: Double, nowNanos: Long) {
+        val isSlower = millis > intervalMillis
+        intervalMillis = millis
+        if (isSlower) usedUntilMillis = maxOf(usedUntilMillis, millis(nowNanos) + savedMillis)
+    }
+
     fun recordSend(nowNanos: Long) {
         usedUntilMillis = maxOf(usedUntilMillis, millis(nowNanos)) + intervalMillis
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -106,12 +106,18 @@
         for ((server, report) in reports) {
             val known = statements[server]
             val atNanos = timer.nanoTime() - report.ageMillis * NANOS_PER_MILLI
-            val isNew = if (known == null) report.requestsPerSecond != null else atNanos > known.atNanos
-            if (!isNew || (known != null && hasEnded(report.incarnation, known.incarnation))) continue
+            if (!isNews(report, atNanos, known) || (known != null && hasEnded(report.incarnation, known.incarnation))) continue
             state(server, Statement(report.requestsPerSecond, report.incarnation, atNanos, isOwn = false))
         }
     }
 
+    private fun isNews(report: ServerLimitReport, atNanos: Long, known: Statement?): Boolean = when {
+        known == null -> report.requestsPerSecond != null
+        // The age does not count the way to this node, which may be long; without a limit, too much would be sent.
+        known.isOwn && report.requestsPerSecond == null -> atNanos > known.atNanos + DELIVERY_NANOS
+        else -> atNanos > known.atNanos
+    }
+
     /** Forgets what processes said that have ended: those of servers that are not listed or have started again. */
     fun retain(listed: Collection<BackendServer>) {
         val servers = listed.associateBy { it.id }
@@ -177,7 +183,7 @@
     }
 
     private fun updatedShare(statement: Statement, intervalMillis: Double): LimitShare {
-        statement.share?.let { return it.also { share -> share.intervalMillis = intervalMillis } }
+        statement.share?.let { return it.also { share -> share.changeInterval(intervalMillis, timer.nanoTime()) } }
         if (statement.wasShared) return LimitShare(intervalMillis, timer.nanoTime() + SETTLE_NANOS)
         // Nodes learn of a new limit together, so no other one holds this share yet. A node that has just started may
         // not know the other nodes.
@@ -195,6 +201,9 @@
         /** Time in which all nodes learn that a node has joined, left or become a holder. */
         const val SETTLE_NANOS = 3_000_000_000L
 
+        /** Most of the time that a report of a peer takes. */
+        const val DELIVERY_NANOS = 500_000_000L
+
         /** Longest time between two requests to a server with a limit near zero. */
         const val PROBE_INTERVAL_MILLIS = 5_000.0
 
--- a/core/src/test/kotlin/ragwortbarrow/core/serverlimit/ServerLimitsTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/serverlimit/ServerLimitsTest.kt
@@ -127,11 +127,41 @@
         limit(1.0)
         timer.advance(500)
         report(null, ageMillis = 600)
+        report(3.0, ageMillis = 600)
         expectThat(limits.size).isEqualTo(1)
-        report(null, ageMillis = 400)
+        expectThat(limits.reports()[server.id]).isEqualTo(ServerLimitReport(1.0, incarnation = 5, ageMillis = 500))
+        report(3.0, ageMillis = 400)
+        expectThat(limits.reports()).isEmpty()
+    }
+
+    /** The message was on its way for half a second, so it is older than the limit. */
+    @Test
+    fun `an end of a limit that is delivered late does not end a limit that this node has read since`() {
+        timer.advance(10_000)
+        limit(1.0)
+        timer.advance(400)
+        report(null, ageMillis = 20)
+        expectThat(limits.size).isEqualTo(1)
+        timer.advance(600)
+        report(null, ageMillis = 20)
         expectThat(limits.size).isEqualTo(0)
     }
 
+    @Test
+    fun `what was saved up at a higher rate is not used when the limit falls`() {
+        timer.advance(60_000)
+        limit(20.0)
+        timer.advance(10_000)
+        expectThat(waitMillis()).isEqualTo(0.0)
+        limit(2.0)
+        var sent = 0
+        while (waitMillis() == 0.0) {
+            limits.recordSend(server)
+            sent++
+        }
+        expectThat(sent).isEqualTo(1)
+    }
+
     @Test
     fun `a node passes on only what it read itself`() {
         report(2.0, ageMillis = 100)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -66,7 +66,7 @@
             val httpResponse = awaitHead(answer, timeouts)
             val head = protocol.parseResponseHead(httpResponse)
             // A misdirected request was answered by another server at the address.
-            if (!head.isMisdirected) limits.recordResponse(server, head.requestLimit)
+            if (!head.isMisdirected && head.isServersOwn) limits.recordResponse(server, head.requestLimit)
             if (head.isLeaving) {
                 tracker.recordLeaving(server)
                 pool.drop(server.address)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryProtocol.kt
@@ -56,6 +56,9 @@
     /** Whether the response is a server's own stream of events. */
     val isStream: Boolean get() = isEventStream && hasServerStamp && status in 200..299
 
+    /** False for a success without the server's stamp, which may be anybody's. */
+    val isServersOwn: Boolean get() = hasServerStamp || status !in 200..299
+
     /** Whether another server than the expected one has answered. */
     val isMisdirected: Boolean get() = status == HttpResponseStatus.MISDIRECTED_REQUEST.code()
 }
