--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -177,8 +177,8 @@
             "backend_servers",
             "reason" to reason,
             "revision" to revision,
-            "entries" to entries.size,
             "kept" to keptUntilMillis.size,
+            "entries" to entries.size,
             "usable" to servers.count { !it.isDraining },
         )
     }
