Keep a missing server for ten seconds at most

Change: the whole time is bounded, however often calls fail. Evidence: ServerDirectoryTest, calls that fail now and then do not keep a missing server: failed before, passes.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -39,6 +39,9 @@
     /** Servers that the last list lacked, with the time until which they are kept. */
     private val keptUntilMillis = HashMap<String, Long>()
 
+    /** The time until which a server is kept at most, however often calls to the store fail. */
+    private val keptAtMostUntilMillis = HashMap<String, Long>()
+
     /** The platform's revision of the newest known change; the entries lack no change before it. */
     var revision: Long = 0
         private set
@@ -92,7 +95,12 @@
 
     private fun keep(names: Collection<String>, millis: Long) {
         if (names.isEmpty()) return
-        for (name in names) keptUntilMillis[name] = timer.monotonicMillis() + millis
+        val nowMillis = timer.monotonicMillis()
+        keptAtMostUntilMillis.keys.retainAll(keptUntilMillis.keys)
+        for (name in names) {
+            val atMostMillis = keptAtMostUntilMillis.getOrPut(name) { nowMillis + MAX_RETENTION_MILLIS }
+            keptUntilMillis[name] = minOf(nowMillis + millis, atMostMillis)
+        }
         timer.once(millis) { removeExpired() }
     }
 
@@ -102,10 +110,12 @@
         val expired = keptUntilMillis.filterValues { it <= nowMillis }.keys.toSet()
         if (expired.isEmpty()) return
         val leftMillis = retentionLeftMillis()
-        if (leftMillis > 0) return keep(expired, leftMillis)
-        keptUntilMillis.keys.removeAll(expired)
-        entries.keys.removeAll(expired)
-        publish("removed " + expired.joinToString(",", transform = ::loggedName))
+        val (extended, removed) = expired.partition { leftMillis > 0 && keptAtMostUntilMillis.getValue(it) > nowMillis }
+        keep(extended, leftMillis)
+        if (removed.isEmpty()) return
+        keptUntilMillis.keys.removeAll(removed.toSet())
+        entries.keys.removeAll(removed.toSet())
+        publish("removed " + removed.joinToString(",", transform = ::loggedName))
     }
 
     /** Applies a change, unless it precedes what is known: a watch may deliver it later than a peer's snapshot. */
@@ -186,5 +196,8 @@
     private companion object {
         /** How much longer an entry of a snapshot is kept. */
         const val KEPT_MILLIS = "keptMillis"
+
+        /** Long enough for a store that fails again right after its return. */
+        const val MAX_RETENTION_MILLIS = 10_000L
     }
 }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -106,6 +106,20 @@
         expectThat(tracker.names()).containsExactly("b")
     }
 
+    @Test
+    fun `calls that fail now and then do not keep a missing server`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2), server("b", 3)))
+        failStore()
+        directory.replaceAll(list(4, server("b", 3)))
+        repeat(10) {
+            timer.advance(2_000)
+            failStore()
+        }
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
     @Test
     fun `repeated lists do not keep a missing server`() {
         val tracker = ServerTracker(timer)
