Keep servers that lapsed in an outage when a peer's list lacks them

Cause: a node took the list of a peer that had started after an outage of the store, and dropped live servers whose entries had lapsed and were not back yet. Callers of that node would have been refused until they were. Change: such servers are kept for what is left of the time after this node's own last failed call. Evidence: ServerDirectoryTest, a server that lapsed in an outage is kept when a peer that did not see the outage lacks it: failed before.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -158,6 +158,13 @@
                 keep(listOf(entry.name), keptMillis.coerceIn(0, retentionMillis))
             }
         }
+        // This node may have seen an outage that the peer, which has started since, has not.
+        val leftMillis = retentionLeftMillis()
+        if (leftMillis > 0) {
+            val missing = before.filterKeys { it !in entries }
+            entries.putAll(missing)
+            keep(missing.keys, leftMillis)
+        }
         revision = snapshot.revision
         completeRevision = snapshot.revision
         publish("taken from a peer")
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -120,6 +120,21 @@
         expectThat(tracker.names()).containsExactly("b")
     }
 
+    @Test
+    fun `a server that lapsed in an outage is kept when a peer that did not see the outage lacks it`() {
+        val tracker = ServerTracker(timer)
+        val directory = directory(tracker)
+        directory.replaceAll(list(3, server("a", 2), server("b", 3)))
+        failStore()
+        timer.advance(500)
+        val started = ServerDirectory(::decode, ServerTracker(timer), timer, { _, _ -> })
+        started.replaceAll(list(5, server("b", 5)))
+        directory.tryApply(started.snapshot)
+        expectThat(tracker.names()).containsExactlyInAnyOrder("a", "b")
+        timer.advance(3_000)
+        expectThat(tracker.names()).containsExactly("b")
+    }
+
     @Test
     fun `repeated lists do not keep a missing server`() {
         val tracker = ServerTracker(timer)
