Soak: end an outage of the store when it is planned to end

The fleet keeps which servers drain or are retired, so that entries can be written again at any time, and only changes of the same server wait for each other.

--- a/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
@@ -100,13 +100,11 @@
     private fun stopStore(fault: SoakFault.StoreDown, durationMillis: Long) = synchronized(fleet.store) {
         fleet.store.isDown = true
         pause(durationMillis)
-        servers.withEntries {
-            if (fault.expiresServers) fleet.serverNumbers().forEach { fleet.unregister(it) }
-            fleet.store.isDown = false
-            if (fault.expiresServers) {
-                pause(REREGISTER_DELAY_MILLIS)
-                fleet.serverNumbers().forEach { fleet.register(it) }
-            }
+        if (fault.expiresServers) fleet.serverNumbers().forEach { fleet.unregister(it) }
+        fleet.store.isDown = false
+        if (fault.expiresServers) {
+            pause(REREGISTER_DELAY_MILLIS)
+            fleet.serverNumbers().forEach { fleet.register(it) }
         }
     }
 
--- a/soak/src/main/kotlin/ragwortbarrow/soak/ServerFaultInjector.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/ServerFaultInjector.kt
@@ -1,39 +1,39 @@
 package ragwortbarrow.soak
 
+import java.util.concurrent.ConcurrentHashMap
+
 /** Injects the faults of backend servers. */
 internal class ServerFaultInjector(private val fleet: SoakFleet, private val records: SoakRecords) {
-    private val entryLock = Any()
-
-    /** Runs [action] while no entry of a server changes. */
-    fun withEntries(action: () -> Unit) = synchronized(entryLock) { action() }
+    private val locks = ConcurrentHashMap<Int, Any>()
 
-    fun drain(server: Int) = withEntries { drainAndReplace(server) }
-
-    private fun drainAndReplace(server: Int) {
-        fleet.register(server, state = "draining")
-        records.drains += ServerDrain(fleet.serverId(server), nowMillis())
-        pause(DRAIN_DURATION_MILLIS)
-        fleet.unregister(server)
-        fleet.startServer(server)
-    }
+    fun drain(server: Int) = replace(server) { drainAndAwait(server) }
 
-    fun leave(fault: SoakFault.Leave, durationMillis: Long) {
+    fun leave(fault: SoakFault.Leave, durationMillis: Long) = replace(fault.server) {
         val runner = fleet.server(fault.server)
         runner.isLeaving = true
         pause(durationMillis + EXTRA_LEAVING_MILLIS)
-        withEntries {
-            if (fleet.server(fault.server) !== runner) return@withEntries
-            if (fault.isDraining) {
-                drainAndReplace(fault.server)
-            } else {
-                fleet.unregister(fault.server)
-                pause(DRAIN_DURATION_MILLIS)
-                fleet.startServer(fault.server)
-            }
+        if (fault.isDraining) {
+            drainAndAwait(fault.server)
+        } else {
+            fleet.retire(fault.server)
+            pause(DRAIN_DURATION_MILLIS)
         }
         runner.close()
     }
 
+    /** Replaces [server] after [end]; a server is replaced once at a time. */
+    private fun replace(server: Int, end: () -> Unit) = synchronized(locks.computeIfAbsent(server) { Any() }) {
+        end()
+        fleet.retire(server)
+        fleet.startServer(server)
+    }
+
+    private fun drainAndAwait(server: Int) {
+        fleet.drain(server)
+        records.drains += ServerDrain(fleet.serverId(server), nowMillis())
+        pause(DRAIN_DURATION_MILLIS)
+    }
+
     fun limit(fault: SoakFault.Limit, durationMillis: Long) {
         val runner = fleet.server(fault.server)
         // Limits of the same server follow each other.
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakFleet.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakFleet.kt
@@ -50,6 +50,8 @@
     private val serverCounter = AtomicInteger()
     private var version = 0
     private val withdrawnKeys = HashSet<String>()
+    private val drainingServers = HashSet<Int>()
+    private val retiredServers = HashSet<Int>()
 
     /** Nodes that report ready, to which a load balancer would send requests. */
     @Volatile
@@ -106,7 +108,10 @@
     }
 
     /** Starts a server with a new id as server [number], behind the link of that number. */
+    @Synchronized
     fun startServer(number: Int) {
+        drainingServers -= number
+        retiredServers -= number
         val id = "i-$number-${serverCounter.incrementAndGet()}"
         val runner = OperatorRunnerStandIn(id, RunnerBehaviour.Chosen(script::behaviour))
         startedServers += runner
@@ -115,15 +120,34 @@
         register(number)
     }
 
-    fun register(number: Int, state: String = "ready") = store.putServer(
-        id = serverId(number),
-        address = "127.0.0.1:${links.getValue(serverLink(number)).port}",
-        zone = failureDomain(number, size),
-        state = state,
-    )
+    /** Writes the entry of server [number] again, unless the server is retired. */
+    @Synchronized
+    fun register(number: Int) {
+        if (number in retiredServers) return
+        store.putServer(
+            id = serverId(number),
+            address = "127.0.0.1:${links.getValue(serverLink(number)).port}",
+            zone = failureDomain(number, size),
+            state = if (number in drainingServers) "draining" else "ready",
+        )
+    }
 
+    @Synchronized
     fun unregister(number: Int) = store.remove("servers", serverId(number))
 
+    @Synchronized
+    fun drain(number: Int) {
+        drainingServers += number
+        register(number)
+    }
+
+    /** Removes the entry of server [number] until [startServer] replaces the server. */
+    @Synchronized
+    fun retire(number: Int) {
+        retiredServers += number
+        unregister(number)
+    }
+
     fun server(number: Int): OperatorRunnerStandIn = currentServers.getValue(number)
 
     fun serverId(number: Int): String = server(number).id
