--- a/core/src/test/kotlin/ragwortbarrow/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/quarantine/PromptQuarantineTest.kt
@@ -264,6 +264,27 @@
         expectThat(quarantine.size).isEqualTo(0)
     }
 
+    /** The peer has not heard of the answer yet, and this node may be the only one with requests for the part. */
+    @Test
+    fun `a part that this node has answered since the last crash is not held because a peer holds it`() {
+        val peer = PromptQuarantine(timer, DecisionLog.NONE)
+        fun passAtPeer(millis: Long) = repeat((millis / STEP_MILLIS).toInt()) {
+            peer.recordAnswer(listOf("common", "other"))
+            timer.advance(STEP_MILLIS)
+            peer.update()
+        }
+        repeat(3) {
+            peer.recordDisconnect(BackendServerId("server-$it"), newRequestId(), listOf("common", "rare"))
+            passAtPeer(500)
+        }
+        passAtPeer(300)
+        quarantine.recordAnswer(listOf("common", "rare"))
+        passAtPeer(600)
+        expectThat(peer.quarantinedPart(listOf("rare"))).isNotNull()
+        hear(peer)
+        expectThat(quarantine.quarantinedPart(listOf("rare"))).isNull()
+    }
+
     @Test
     fun `a restarted node takes a quarantine over, and it ends although nodes go on telling of it`() {
         repeat(3) { crash(listOf("common", "harmful")) }
