Let another node test a quarantined part if the first one cannot send its item

Cause: the node with the first held item announced the trial, and waited with it as long as no server had room for the item, or the servers of its service took no request of that node. No other node tried, so items whose part was blamed by mistake were held to max_wait_s (LOST). Change: after four seconds the trial is given back, and the node offers nothing for ten. Evidence: PartTrialsTest, another node tries if the one with the first item has no room for it: failed before (no item sent), passes.

--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
@@ -19,6 +19,9 @@
     private var offeredMillis = nowMillis
     private val heardMillis = HashMap<String, Long>()
 
+    /** Until then this node lets others try, because it could not send its own item. */
+    private var yieldsUntilMillis = Long.MIN_VALUE
+
     /** The announced trial that is not sent yet. */
     private var announced: String? = null
     private var announcedMillis = nowMillis
@@ -31,7 +34,13 @@
      * Sets the first item that this node could send, or has sent as a trial that goes on; null if there is none. The
      * last crash on the part was at [lastCrashMillis]. Called periodically.
      */
-    fun offer(candidate: String?, lastCrashMillis: Long, nowMillis: Long) {
+    fun offer(item: String?, lastCrashMillis: Long, nowMillis: Long) {
+        if (announced != null &&
+            nowMillis - announcedMillis >= SEND_MILLIS
+        ) {
+            yieldsUntilMillis = nowMillis + YIELD_MILLIS
+        }
+        val candidate = item?.takeIf { nowMillis >= yieldsUntilMillis }
         // A node that was paused does not know what happened meanwhile.
         val isContinued = candidate == ownCandidate && nowMillis - offeredMillis <= MAX_OFFER_GAP_MILLIS
         ownCandidate = candidate
@@ -93,6 +102,12 @@
         /** Time until all nodes know what this one reports: three exchanges of an idle fleet. */
         const val PROPAGATION_MILLIS = 1_700L
 
+        /** Time in which an announced trial is sent, unless there is no room for it. */
+        const val SEND_MILLIS = 4_000L
+
+        /** Time in which another node announces a trial. */
+        const val YIELD_MILLIS = 10_000L
+
         /** Candidates are reported several times within this time. */
         const val HEARD_MILLIS = 2_500L
         const val MAX_OFFER_GAP_MILLIS = 500L
--- a/core/src/test/kotlin/ragwortbarrow/core/quarantine/PartTrialsTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/quarantine/PartTrialsTest.kt
@@ -22,6 +22,9 @@
     private inner class Node(vararg val items: HeldItem, var group: Int = 0) {
         var quarantine = PromptQuarantine(timer, DecisionLog.NONE)
         var isPaused = false
+
+        /** Whether a server has room for an item of this node. */
+        var hasRoom = true
         val sent = ArrayList<String>()
 
         init {
@@ -34,7 +37,7 @@
             val held = items.filter { quarantine.quarantinedPart(it.sharedParts) != null }
             val isInMajority = nodes.count { it.group == group } * 2 > nodes.size
             quarantine.updateHeldItems(if (isInMajority) held else emptyList())
-            val due = held.firstOrNull { quarantine.isTrialDue(it) } ?: return
+            val due = held.firstOrNull { hasRoom && quarantine.isTrialDue(it) } ?: return
             sent += due.id
             val parts = quarantine.startTrial(due.sharedParts)
             expectThat(parts.isEmpty()).isEqualTo(false)
@@ -116,6 +119,16 @@
         expectThat(allSent.size).isEqualTo(3)
     }
 
+    @Test
+    fun `another node tries if the one with the first item has no room for it`() {
+        repeat(3) { Node(item("item-$it")) }
+        nodes[0].hasRoom = false
+        blame()
+        pass(25_000, ::answer)
+        expectThat(allSent).containsExactly("item-1")
+        for (node in nodes) expectThat(node.quarantine.size).isEqualTo(0)
+    }
+
     @Test
     fun `no trial is sent while the servers that ended may not be back`() {
         Node(item("item"))
