--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
@@ -300,9 +300,8 @@
     }
 
     /** A time that a peer reported may be later than it seems, so only answers of peers need a margin. */
-    private fun isAnsweredSince(part: String, millis: Long): Boolean =
-        (ownAnswers[part] ?: Long.MIN_VALUE) > millis ||
-            (peerAnswers[part] ?: Long.MIN_VALUE) > millis + CLOCK_ERROR_MILLIS
+    private fun isAnsweredSince(part: String, millis: Long): Boolean = (ownAnswers[part] ?: Long.MIN_VALUE) > millis ||
+        (peerAnswers[part] ?: Long.MIN_VALUE) > millis + CLOCK_ERROR_MILLIS
 
     private fun durationMillis(renewals: Int): Long =
         (QUARANTINE_MILLIS shl minOf(renewals, MAX_DOUBLINGS)).coerceAtMost(MAX_QUARANTINE_MILLIS)
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -106,7 +106,11 @@
         for ((server, report) in reports) {
             val known = statements[server]
             val atNanos = timer.nanoTime() - report.ageMillis * NANOS_PER_MILLI
-            if (!isNews(report, atNanos, known) || (known != null && hasEnded(report.incarnation, known.incarnation))) continue
+            if (!isNews(report, atNanos, known) ||
+                (known != null && hasEnded(report.incarnation, known.incarnation))
+            ) {
+                continue
+            }
             state(server, Statement(report.requestsPerSecond, report.incarnation, atNanos, isOwn = false))
         }
     }
@@ -207,7 +211,7 @@
         /** Longest time between two requests to a server with a limit near zero. */
         const val PROBE_INTERVAL_MILLIS = 5_000.0
 
-        /** Time without a response to any node after which nodes without a share send a request, one after the other. */
+        /** Time without a response to any node after which nodes without a share send a request in turn. */
         const val UNHEARD_MILLIS = 8_000L
         const val PROBE_STAGGER_MILLIS = 1_000L
 
