Let a request that cannot be rejected wait for a server that limits its requests

Cause: a stream whose server broke off, or a request that may have run, failed at once if the servers left had taken what they take, although one of them took the next request a moment later. Callers lost the rest of their answers. Found by the review. Change: such a request waits for the next permit within its time. Evidence: ServerLimitPathTest, a stream that broke off goes on as soon as the server that is left takes a request: failed before (one of three streams cut), passes.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -22,6 +22,7 @@
 import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.pause
 import ragwortbarrow.core.traffic.CustomerAccount
 import ragwortbarrow.core.traffic.Route
 import ragwortbarrow.http.HttpAnswer
@@ -119,7 +120,11 @@
                 quarantinedPart()?.let { return failQuarantined(it) }
                 val server = when (val placed = place()) {
                     is Placement.Send -> placed.server.also { if (placed.waitMillis > 0) onSlotNeeded(it) }
-                    is Placement.Full -> return fail(ResultCode.QUEUE_FULL, placed.retryAfterMillis)
+                    is Placement.Full -> {
+                        if (!mayWait(placed)) return fail(ResultCode.QUEUE_FULL, placed.retryAfterMillis)
+                        timer.pause(placed.waitMillis.toLong().coerceAtLeast(MIN_WAIT_MILLIS))
+                        continue
+                    }
                     is Placement.NoServer -> return fail(ResultCode.NO_BACKEND_SERVER, placed.retryAfterMillis)
                 }
                 lastServer = server.id
@@ -483,6 +488,10 @@
             return true
         }
 
+        /** A request that can't be rejected as not run waits for a server, because its caller cannot repeat it. */
+        private fun mayWait(placed: Placement.Full): Boolean = !placementRequest().isRefusable &&
+            placed.waitMillis < request.limitMillis - elapsedMillis(request)
+
         private fun mayRetry(): Boolean = possibleRuns < route.maxAttempts &&
             when {
                 reply.isStarted -> route.isResumable && !hasUnnumberedData
@@ -532,6 +541,9 @@
         const val IDLE_CHECK_MILLIS = 100L
 
         const val RETRY_AFTER_MILLIS = 1_000L
+
+        /** Time between two searches for a server that takes a request. */
+        const val MIN_WAIT_MILLIS = 10L
         const val SERVER_ERROR = 500
 
         /** Statuses that callers take as a promise that the request has not run and never will. */
