Decide in one place whether a peer's report of a limit is news

The check that the reporting process has not ended stood beside isNews, in a nested condition. It is one of its cases now; no behaviour changes. ServerLimitsTest (16), ServerLimitFleetTest (9) and ServerLimitPathTest (4) pass, formatter and linter included.

--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -106,17 +106,14 @@
         for ((server, report) in reports) {
             val known = statements[server]
             val atNanos = timer.nanoTime() - report.ageMillis * NANOS_PER_MILLI
-            if (!isNews(report, atNanos, known) ||
-                (known != null && hasEnded(report.incarnation, known.incarnation))
-            ) {
-                continue
-            }
+            if (!isNews(report, atNanos, known)) continue
             state(server, Statement(report.requestsPerSecond, report.incarnation, atNanos, isOwn = false))
         }
     }
 
     private fun isNews(report: ServerLimitReport, atNanos: Long, known: Statement?): Boolean = when {
         known == null -> report.requestsPerSecond != null
+        hasEnded(report.incarnation, known.incarnation) -> false
         // The age does not count the way to this node, which may be long; without a limit, too much would be sent.
         known.isOwn && report.requestsPerSecond == null -> atNanos > known.atNanos + DELIVERY_NANOS
         else -> atNanos > known.atNanos
