Hold both times of a kept server in one map

keptAtMostUntilMillis had to be brought in line with keptUntilMillis by hand in each call. One entry per server holds both times; no behaviour changes. ServerDirectoryTest (16), RemovedServerTest (2), LeavingServerTest (10), PeerSnapshotFetcherTest, RestartTest and OddServerEntryTest pass, formatter and linter included.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -34,13 +34,13 @@
     /** Called with the addresses of all servers after each change. */
     var onServersChanged: (addresses: Set<String>) -> Unit = {}
 
-    private val entries = LinkedHashMap<String, StoredObject>()
+    /** The time until which a server is kept, and until which it is at most, however often calls to the store fail. */
+    private class Kept(val untilMillis: Long, val atMostUntilMillis: Long)
 
-    /** Servers that the last list lacked, with the time until which they are kept. */
-    private val keptUntilMillis = HashMap<String, Long>()
+    private val entries = LinkedHashMap<String, StoredObject>()
 
-    /** The time until which a server is kept at most, however often calls to the store fail. */
-    private val keptAtMostUntilMillis = HashMap<String, Long>()
+    /** Servers that the last list lacked. */
+    private val kept = HashMap<String, Kept>()
 
     /** The platform's revision of the newest known change; the entries lack no change before it. */
     var revision: Long = 0
@@ -61,7 +61,7 @@
         put("name", entry.name)
         put("version", entry.version)
         put("spec", entry.spec)
-        keptUntilMillis[entry.name]?.let { put(KEPT_MILLIS, it - nowMillis) }
+        kept[entry.name]?.let { put(KEPT_MILLIS, it.untilMillis - nowMillis) }
     }
 
     /** Replaces all entries by a complete list from the platform, except those that are kept after an outage. */
@@ -72,9 +72,9 @@
         }
         completeRevision = list.listVersion
         val present = list.items.mapTo(HashSet()) { it.name }
-        val missing = entries.keys.filter { it !in present && it !in keptUntilMillis }
+        val missing = entries.keys.filter { it !in present && it !in kept }
         val leftMillis = retentionLeftMillis()
-        keptUntilMillis.keys.removeAll(present)
+        kept.keys.removeAll(present)
         list.items.forEach { put(it) }
         // Peers whose watch missed a removal learn of it from a newer revision.
         val newest = if (missing.isEmpty()) list.items.maxOfOrNull { it.version } ?: 0 else list.listVersion
@@ -96,10 +96,9 @@
     private fun keep(names: Collection<String>, millis: Long) {
         if (names.isEmpty()) return
         val nowMillis = timer.monotonicMillis()
-        keptAtMostUntilMillis.keys.retainAll(keptUntilMillis.keys)
         for (name in names) {
-            val atMostMillis = keptAtMostUntilMillis.getOrPut(name) { nowMillis + MAX_RETENTION_MILLIS }
-            keptUntilMillis[name] = minOf(nowMillis + millis, atMostMillis)
+            val atMostUntilMillis = kept[name]?.atMostUntilMillis ?: (nowMillis + MAX_RETENTION_MILLIS)
+            kept[name] = Kept(minOf(nowMillis + millis, atMostUntilMillis), atMostUntilMillis)
         }
         timer.once(millis) { removeExpired() }
     }
@@ -107,22 +106,24 @@
     /** Another outage since then gives servers time again. */
     private fun removeExpired() {
         val nowMillis = timer.monotonicMillis()
-        val expired = keptUntilMillis.filterValues { it <= nowMillis }.keys.toSet()
+        val expired = kept.filterValues { it.untilMillis <= nowMillis }
         if (expired.isEmpty()) return
         val leftMillis = retentionLeftMillis()
-        val (extended, removed) = expired.partition { leftMillis > 0 && keptAtMostUntilMillis.getValue(it) > nowMillis }
+        val (extended, removed) = expired.keys.partition {
+            leftMillis > 0 && expired.getValue(it).atMostUntilMillis > nowMillis
+        }
         keep(extended, leftMillis)
         if (removed.isEmpty()) return
-        keptUntilMillis.keys.removeAll(removed.toSet())
+        kept.keys.removeAll(removed.toSet())
         entries.keys.removeAll(removed.toSet())
         publish("removed " + removed.joinToString(",", transform = ::loggedName))
     }
 
     /** Applies a change, unless it precedes what is known: a watch may deliver it later than a peer's snapshot. */
     fun update(entry: StoredObject) {
-        val known = entries[entry.name]?.takeIf { entry.name !in keptUntilMillis }
+        val known = entries[entry.name]?.takeIf { entry.name !in kept }
         if (entry.version <= (known?.version ?: completeRevision)) return
-        keptUntilMillis.remove(entry.name)
+        kept.remove(entry.name)
         put(entry)
         revision = maxOf(revision, entry.version)
         publish("changed ${loggedName(entry.name)}")
@@ -131,7 +132,7 @@
     fun remove(name: String, atRevision: Long) {
         val known = entries[name] ?: return
         if (known.version > atRevision) return
-        keptUntilMillis.remove(name)
+        kept.remove(name)
         entries.remove(name)
         revision = maxOf(revision, atRevision)
         publish("removed ${loggedName(name)}")
@@ -146,14 +147,14 @@
         val list = (storeJson.parseToJsonElement(snapshot.document) as JsonArray).map { it as JsonObject }
         val hadEntries = revision > 0
         val before = LinkedHashMap(entries)
-        entries.keys.retainAll(keptUntilMillis.keys)
+        entries.keys.retainAll(kept.keys)
         for (element in list) {
             val entry = decodeSnapshotEntry(element)
             val keptMillis = element[KEPT_MILLIS]?.jsonPrimitive?.longOrNull
             if (keptMillis == null) {
                 entries[entry.name] = entry
-                keptUntilMillis.remove(entry.name)
-            } else if (entry.name !in keptUntilMillis && (entry.name in before || !hadEntries)) {
+                kept.remove(entry.name)
+            } else if (entry.name !in kept && (entry.name in before || !hadEntries)) {
                 entries[entry.name] = entry
                 keep(listOf(entry.name), keptMillis.coerceIn(0, retentionMillis))
             }
@@ -194,7 +195,7 @@
             "backend_servers",
             "reason" to reason,
             "revision" to revision,
-            "kept" to keptUntilMillis.size,
+            "kept" to kept.size,
             "entries" to entries.size,
             "usable" to servers.count { !it.isDraining },
         )
