Let parts of a fleet that forgot each other merge again

Cause: a member that was not heard from for 30 s was removed with its address, and only silent members and, by a node without any partner, the seeds are called. After a longer partition no node of one part had an address of the other.

What callers saw: each part took the whole limit of a server, and the whole rate of a customer, long after the partition had ended.

Change: addresses of up to 400 members that expired without leaving are kept, and each node calls one of them a second, potential relays first. One answer makes the node a member again, and relays tell of the rest.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -6,9 +6,9 @@
 
 /**
  * This node's view of the members of the fleet. A node that was not heard from for [unreachableAfterMillis] counts as
- * unreachable. It stays a member until [expireAfterMillis], because it may still be running behind a partition. Reports
- * through a relay are older, so a node that is known through a relay counts as unreachable after
- * [relayedUnreachableAfterMillis].
+ * unreachable. It stays a member until [expireAfterMillis], because it may still be running behind a partition, and its
+ * address is kept after that, because the partition may last longer. Reports through a relay are older, so a node that
+ * is known through a relay counts as unreachable after [relayedUnreachableAfterMillis].
  */
 class FleetMembers(
     val self: FleetNode,
@@ -30,6 +30,9 @@
 
     private val members = HashMap<VmId, Member>()
 
+    /** Expired members by address, in the order in which they expired. */
+    private val formerMembers = LinkedHashMap<String, FleetNode>()
+
     /**
      * Grows when a member is added, becomes reachable again, restarts, leaves or is removed, but not when one becomes
      * unreachable.
@@ -50,6 +53,9 @@
     /** Other members that are not leaving, including unreachable ones, which may be running behind a partition. */
     fun notLeaving(): List<FleetNode> = members.values.filter { !it.isLeaving }.map { it.node }
 
+    /** Nodes that expired as members without leaving, up to [MAX_FORMER_MEMBERS] of them. */
+    fun former(): List<FleetNode> = formerMembers.values.toList()
+
     /** Number of members, including this node and unreachable ones. */
     val size: Int get() = members.size + 1
 
@@ -88,10 +94,16 @@
             }
             return false
         }
-        members[node.vm] = Member(node, timer.monotonicMillis(), isLeaving = false, hadContact = false)
+        insert(Member(node, timer.monotonicMillis(), isLeaving = false, hadContact = false))
+        return true
+    }
+
+    private fun insert(member: Member) {
+        members[member.node.vm] = member
+        // A replaced node may have another address, and another node the address.
+        formerMembers.values.removeIf { it.vm == member.node.vm || it.address == member.node.address }
         changeCount++
         compositionCount++
-        return true
     }
 
     /** Records a message from a member; returns true if the member is new, reachable again, restarted or leaving. */
@@ -99,9 +111,7 @@
         if (node.vm == self.vm) return false
         val member = members[node.vm]
         if (member == null) {
-            members[node.vm] = Member(node, timer.monotonicMillis(), isLeaving, hadContact = true)
-            changeCount++
-            compositionCount++
+            insert(Member(node, timer.monotonicMillis(), isLeaving, hadContact = true))
             return true
         }
         if (node.incarnation < member.node.incarnation) return false
@@ -127,10 +137,7 @@
         val member = members[node.vm]
         if (member == null) {
             if (report.ageMillis > relayedUnreachableAfterMillis) return false
-            members[node.vm] =
-                Member(node, reportedMillis, report.isLeaving, hadContact = true).also { it.isRelayed = true }
-            changeCount++
-            compositionCount++
+            insert(Member(node, reportedMillis, report.isLeaving, hadContact = true).also { it.isRelayed = true })
             return true
         }
         if (node.incarnation < member.node.incarnation) return false
@@ -157,15 +164,27 @@
     /** Removes and returns the members that were not heard from for [expireAfterMillis]. */
     fun removeExpired(): List<FleetNode> {
         val nowMillis = timer.monotonicMillis()
-        val expired = members.values.filter { nowMillis - it.lastContactMillis > expireAfterMillis }.map { it.node }
-        expired.forEach { members.remove(it.vm) }
+        val expired = members.values.filter { nowMillis - it.lastContactMillis > expireAfterMillis }
+        expired.forEach { remove(it) }
         if (expired.isNotEmpty()) {
             changeCount++
             compositionCount++
         }
-        return expired
+        return expired.map { it.node }
+    }
+
+    private fun remove(member: Member) {
+        members.remove(member.node.vm)
+        if (member.isLeaving) return
+        formerMembers[member.node.address] = member.node
+        if (formerMembers.size > MAX_FORMER_MEMBERS) formerMembers.remove(formerMembers.keys.first())
     }
 
     private fun isReachable(member: Member) = timer.monotonicMillis() - member.lastContactMillis <=
         if (member.isRelayed) relayedUnreachableAfterMillis else unreachableAfterMillis
+
+    private companion object {
+        /** As many as the largest fleet has members. */
+        const val MAX_FORMER_MEMBERS = 400
+    }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
@@ -22,6 +22,7 @@
     private var rankedRelays: List<FleetNode>? = null
     private var cachedRank: Int? = null
     private var nextUnreachableIndex = 0
+    private var nextFormerIndex = 0
     private var planChangeCount = -1
     private var planMillis = 0L
 
@@ -86,6 +87,15 @@
         return unreachable[nextUnreachableIndex++ % unreachable.size]
     }
 
+    /**
+     * The next former member to call, in the same order. Parts of a fleet that were cut off from each other until their
+     * members expired find each other again through these calls.
+     */
+    fun nextFormer(): FleetNode? {
+        val former = members.former().sortedWith(RELAY_ORDER)
+        return if (former.isEmpty()) null else former[nextFormerIndex++ % former.size]
+    }
+
     /**
      * Whether this node watches the platform: the first [RELAYS] reachable nodes of a failure domain do, and as many
      * again if the relay of this node can't reach the platform's store.
--- a/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
@@ -5,6 +5,7 @@
 import ragwortbarrow.core.time.ManualTimerService
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -32,6 +33,21 @@
         expectThat(members.size).isEqualTo(1)
     }
 
+    @Test
+    fun `a node that was removed without leaving is known as former until it or its address returns`() {
+        val replaced = FleetNode(VmId("c"), "10.0.0.3:1", 5)
+        val left = FleetNode(VmId("d"), "10.0.0.4:1", 5)
+        members.recordContact(other, isLeaving = false)
+        members.recordContact(replaced, isLeaving = false)
+        members.recordContact(left, isLeaving = true)
+        timer.advance(31_000)
+        members.removeExpired()
+        expectThat(members.former()).containsExactlyInAnyOrder(other, replaced)
+        members.recordContact(other.copy(address = "10.0.0.9:1", incarnation = 6), isLeaving = false)
+        members.recordContact(replaced.copy(vm = VmId("e")), isLeaving = false)
+        expectThat(members.former()).isEmpty()
+    }
+
     @Test
     fun `the composition changes when a member joins or leaves, not when it is unreachable or restarts`() {
         members.recordContact(other, isLeaving = false)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -162,6 +162,7 @@
             if (isCaller || !isCurrent(node.vm)) exchangeWith(node)
         }
         if (ticks % UNREACHABLE_MEMBER_PERIODS == 0L) plan.nextUnreachable()?.let { exchangeWith(it) }
+        if (ticks % FORMER_MEMBER_PERIODS == 0L) plan.nextFormer()?.let { exchangeWith(it) }
         removeStaleStates(peers)
         detectUnreachableMembers()
         members.removeExpired().forEach {
@@ -349,6 +350,9 @@
         /** Periods between two calls to unreachable members. */
         const val UNREACHABLE_MEMBER_PERIODS = 5L
 
+        /** Periods between two calls to former members, most of which have ended. */
+        const val FORMER_MEMBER_PERIODS = 10L
+
         /** Messages that list the members: the first ones, those after a change, and then one in ten periods. */
         const val INITIAL_MEMBER_LISTS = 3
         const val MEMBER_LIST_PERIODS = 10L
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
@@ -247,6 +247,18 @@
         }
     }
 
+    @Test
+    fun `parts of a fleet that were cut off until they forgot each other merge again`() {
+        fleet(domains = 3, size = 4)
+        val cutOff = nodes.values.filter { it.self.failureDomain == FailureDomainId("domain-1") }
+        cutOff.forEach { it.partition = 1 }
+        timer.advance(45_000)
+        expectThat(cutOff.first().members.size).isEqualTo(cutOff.size)
+        cutOff.forEach { it.partition = 0 }
+        timer.advance(10_000)
+        for (node in nodes.values) expectThat(node.members.reachable().size).isEqualTo(nodes.size - 1)
+    }
+
     @Test
     fun `the removal of a member is reported, so that its connections can be closed`() {
         fleet(domains = 1, size = 3)
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerLimitFleetTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerLimitFleetTest.kt
@@ -176,6 +176,20 @@
         expectThat(mostInWindow()).isLessThanOrEqualTo(allowedInWindow(requestsPerSecond))
     }
 
+    /** Each part takes the whole limit once it has forgotten the other one. */
+    @Test
+    fun `the limit is kept after a partition that lasted until the parts forgot each other`() {
+        fleet(domains = 3, size = 3)
+        name(6.0)
+        nodes.values.filter { it.domain == 1 }.forEach { it.partition = 1 }
+        load(35_000)
+        nodes.values.forEach { it.partition = 0 }
+        load(CONTACT_MILLIS)
+        arrivalsMillis.clear()
+        load(20_000)
+        expectThat(mostInWindow()).isLessThanOrEqualTo(allowedInWindow(6.0))
+    }
+
     @Test
     fun `all nodes learn of a limit before a response of their own, and of its end`() {
         fleet(domains = 3, size = 20)
