Keep the limits of servers while parts of the fleet are cut off for long

Cause: the shares of a limit were divided among the members, and a node that was not heard from for 30 s is no member. From then on each part of a partitioned fleet divided the whole limit among its own nodes.

What callers saw: a server in need got up to the number of parts times what it takes, and failed or refused their requests.

Change: nodes that expired without leaving are counted for ten minutes after they were last heard from. The price is the share of a node that ended without a word, which stays unused for that time.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -17,6 +17,7 @@
     private val relayedUnreachableAfterMillis: Long = 3_000,
     private val expireAfterMillis: Long = 30_000,
     private val failedAfterMillis: Long = 4_000,
+    private val endedAfterMillis: Long = 600_000,
 ) {
     /** A member that was added without contact counts as reachable at first, until it could have responded. */
     private class Member(
@@ -30,8 +31,13 @@
 
     private val members = HashMap<VmId, Member>()
 
+    private class FormerMember(val node: FleetNode, val lastContactMillis: Long)
+
     /** Expired members by address, in the order in which they expired. */
-    private val formerMembers = LinkedHashMap<String, FleetNode>()
+    private val formerMembers = LinkedHashMap<String, FormerMember>()
+
+    /** Number of former members that counted as possibly running when this was last checked. */
+    private var runningFormerCount = 0
 
     /**
      * Grows when a member is added, becomes reachable again, restarts, leaves or is removed, but not when one becomes
@@ -40,7 +46,7 @@
     var changeCount = 0
         private set
 
-    /** Grows when [notLeaving] changes, but not when members become reachable or unreachable. */
+    /** Grows when [possiblyRunning] changes, but not when members become reachable or unreachable. */
     var compositionCount = 0
         private set
 
@@ -54,7 +60,15 @@
     fun notLeaving(): List<FleetNode> = members.values.filter { !it.isLeaving }.map { it.node }
 
     /** Nodes that expired as members without leaving, up to [MAX_FORMER_MEMBERS] of them. */
-    fun former(): List<FleetNode> = formerMembers.values.toList()
+    fun former(): List<FleetNode> = formerMembers.values.map { it.node }
+
+    /**
+     * Other nodes that may be running and sending requests: members that are not leaving, and nodes that expired as
+     * members but were heard from in the last [endedAfterMillis], since a partition may last that long.
+     */
+    fun possiblyRunning(): List<FleetNode> = notLeaving() + formerMembers.values.filter { mayRun(it) }.map { it.node }
+
+    private fun mayRun(former: FormerMember) = timer.monotonicMillis() - former.lastContactMillis <= endedAfterMillis
 
     /** Number of members, including this node and unreachable ones. */
     val size: Int get() = members.size + 1
@@ -101,7 +115,7 @@
     private fun insert(member: Member) {
         members[member.node.vm] = member
         // A replaced node may have another address, and another node the address.
-        formerMembers.values.removeIf { it.vm == member.node.vm || it.address == member.node.address }
+        formerMembers.values.removeIf { it.node.vm == member.node.vm || it.node.address == member.node.address }
         changeCount++
         compositionCount++
     }
@@ -166,17 +180,17 @@
         val nowMillis = timer.monotonicMillis()
         val expired = members.values.filter { nowMillis - it.lastContactMillis > expireAfterMillis }
         expired.forEach { remove(it) }
-        if (expired.isNotEmpty()) {
-            changeCount++
-            compositionCount++
-        }
+        if (expired.isNotEmpty()) changeCount++
+        val runningFormer = formerMembers.values.count { mayRun(it) }
+        if (expired.isNotEmpty() || runningFormer != runningFormerCount) compositionCount++
+        runningFormerCount = runningFormer
         return expired.map { it.node }
     }
 
     private fun remove(member: Member) {
         members.remove(member.node.vm)
         if (member.isLeaving) return
-        formerMembers[member.node.address] = member.node
+        formerMembers[member.node.address] = FormerMember(member.node, member.lastContactMillis)
         if (formerMembers.size > MAX_FORMER_MEMBERS) formerMembers.remove(formerMembers.keys.first())
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
@@ -10,7 +10,7 @@
  * server's failure domain first. Each may send a request after an idle time, so the sum over more nodes would exceed
  * the limit.
  *
- * All members count, unreachable ones too: they may run behind a partition and send what they held before.
+ * All members count, unreachable and expired ones too: they may run behind a partition and send what they held before.
  */
 class LimitHolders(private val members: FleetMembers) {
     /** True once this node leaves; it gives up all its shares. */
@@ -27,7 +27,7 @@
     /** The place of this node for [server]; null if it leaves. */
     internal fun rank(server: BackendServer, requestsPerSecond: Double): HolderRank? {
         if (isLeaving) return null
-        val nodes = members.notLeaving() + members.self
+        val nodes = members.possiblyRunning() + members.self
         val (near, far) = nodes.partition { it.failureDomain == server.failureDomain }
         val ranked = rank(server, near) + rank(server, far)
         val holders = (requestsPerSecond * NODES_PER_REQUEST).toInt().coerceIn(1, nodes.size)
--- a/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
@@ -48,6 +48,19 @@
         expectThat(members.former()).isEmpty()
     }
 
+    @Test
+    fun `a node that expired without leaving may be running for ten minutes`() {
+        members.recordContact(other, isLeaving = false)
+        timer.advance(31_000)
+        members.removeExpired()
+        expectThat(members.possiblyRunning()).containsExactly(other)
+        val before = members.compositionCount
+        timer.advance(570_000)
+        members.removeExpired()
+        expectThat(members.possiblyRunning()).isEmpty()
+        expectThat(members.compositionCount).isEqualTo(before + 1)
+    }
+
     @Test
     fun `the composition changes when a member joins or leaves, not when it is unreachable or restarts`() {
         members.recordContact(other, isLeaving = false)
