Do not send all held items at the end of a quarantine

Cause: the end of a quarantine, 120 s after the last crash, released its part for everything. Batch items that had been held meanwhile, of all nodes and jobs, were startable in the same moment.

What callers saw: if the part was still harmful, as many servers ended at once as there were free slots, with the answers of others on them.

Evidence: JobRunnerTest, three items of a part whose quarantine has just ended: 3 of 3 were sent before, one now, and all three after its answer.

Change: a quarantine has a second phase, as long as the first, in which requests are served and batch items are held. One at a time is sent as a trial; a crash renews the quarantine as any crash after its end did. What cannot be tried in that time is released.

--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
@@ -32,9 +32,10 @@
 
     /**
      * Sets the first item that this node could send, or has sent as a trial that goes on; null if there is none. The
-     * last crash on the part was at [lastCrashMillis]. Called periodically.
+     * last crash on the part was at [lastCrashMillis]. The number of failed trials has no limit if [isRetried]. Called
+     * periodically.
      */
-    fun offer(item: String?, lastCrashMillis: Long, nowMillis: Long) {
+    fun offer(item: String?, lastCrashMillis: Long, nowMillis: Long, isRetried: Boolean = false) {
         if (announced != null &&
             nowMillis - announcedMillis >= SEND_MILLIS
         ) {
@@ -52,11 +53,12 @@
             announced = null
             recordReturn(nowMillis)
         }
-        if (announced == null && isFirst && isPauseOver(lastCrashMillis, nowMillis)) announce(nowMillis)
+        if (announced == null && isFirst && isPauseOver(lastCrashMillis, nowMillis, isRetried)) announce(nowMillis)
     }
 
-    private fun isPauseOver(lastCrashMillis: Long, nowMillis: Long): Boolean {
-        val pauseMillis = PAUSES_MILLIS.getOrNull(failed) ?: return false
+    private fun isPauseOver(lastCrashMillis: Long, nowMillis: Long, isRetried: Boolean): Boolean {
+        val lastPauseMillis = PAUSES_MILLIS.last().takeIf { isRetried }
+        val pauseMillis = PAUSES_MILLIS.getOrNull(failed) ?: lastPauseMillis ?: return false
         return nowMillis - maxOf(lastCrashMillis, changedMillis) >= pauseMillis &&
             nowMillis - ownSinceMillis >= PROPAGATION_MILLIS
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
@@ -10,7 +10,8 @@
  * Finds parts of prompts on which backend servers crash, so that requests with them are refused. The evidence of all
  * nodes counts: requests that were in flight at a crash, and parts that were answered since. A quarantine ends after a
  * time without crashes, or when the part is answered after all, for example by the trial of a held batch item
- * ([PartTrials]). Its memory is bounded. Confined to one thread.
+ * ([PartTrials]). Batch items, which may be many, are held for as long again if nobody has shown meanwhile that the part
+ * is sound. Its memory is bounded. Confined to one thread.
  */
 class PromptQuarantine(private val timer: TimerService, private val log: DecisionLog) {
     private class Disconnect(
@@ -20,14 +21,26 @@
         val atMillis: Long,
     )
 
-    /** A released quarantine is remembered, since the next crash renews it. */
+    private enum class Phase {
+        /** Requests with the part are refused, and batch items held. */
+        REFUSED,
+
+        /** Requests are served, and batch items held. */
+        HELD,
+
+        /** Forgotten except for the next crash, which renews the quarantine. */
+        RELEASED,
+    }
+
     private class Quarantine(
         var crashes: Int,
         var lastCrashMillis: Long,
         val renewals: Int,
         val trials: PartTrials,
-        var isReleased: Boolean = false,
-    )
+        var phase: Phase = Phase.REFUSED,
+    ) {
+        val isReleased: Boolean get() = phase == Phase.RELEASED
+    }
 
     private val unconfirmed = ArrayList<Disconnect>()
     private val ownCrashes = ArrayDeque<Disconnect>()
@@ -49,10 +62,14 @@
     var onCrashRecorded: () -> Unit = {}
 
     /** Number of parts that are refused now. */
-    val size: Int get() = quarantines.values.count { !it.isReleased }
+    val size: Int get() = quarantines.values.count { it.phase == Phase.REFUSED }
 
     /** The first of [parts] that is refused; null if there is none. */
     fun quarantinedPart(parts: List<String>): String? =
+        if (quarantines.isEmpty()) null else parts.firstOrNull { quarantines[it]?.phase == Phase.REFUSED }
+
+    /** The first of [parts] for which batch items are held; null if there is none. */
+    fun heldPart(parts: List<String>): String? =
         if (quarantines.isEmpty()) null else parts.firstOrNull { quarantines[it]?.isReleased == false }
 
     /** Records that a server began to answer a request with [sharedParts]. */
@@ -152,14 +169,14 @@
 
     private fun adopt(part: String, report: QuarantineReport, nowMillis: Long) {
         val lastCrashMillis = nowMillis - report.lastCrashAgeMillis
-        val isOver = report.lastCrashAgeMillis >= durationMillis(report.renewals)
+        val phase = phase(report.lastCrashAgeMillis, report.renewals)
         // A quarantine that ended here is not taken up again from a node where it ends a little later.
         val known = quarantines[part]
         if (known?.renewals == report.renewals) known.trials.merge(report.trials, nowMillis)
         val isKnown = known != null && known.renewals >= report.renewals
-        if (isOver || isKnown || isAnsweredSince(part, lastCrashMillis)) return
+        if (phase == Phase.RELEASED || isKnown || isAnsweredSince(part, lastCrashMillis)) return
         val trials = PartTrials(nowMillis).apply { merge(report.trials, nowMillis) }
-        start(part, Quarantine(report.crashes, lastCrashMillis, report.renewals, trials), "peer")
+        start(part, Quarantine(report.crashes, lastCrashMillis, report.renewals, trials, phase), "peer")
     }
 
     /**
@@ -171,7 +188,8 @@
         val nowMillis = timer.monotonicMillis()
         for ((part, quarantine) in quarantines) {
             val first = items.filter { part in it.sharedParts }.minOfOrNull { candidate(it) }
-            quarantine.trials.offer(first, quarantine.lastCrashMillis, nowMillis)
+            val isRetried = quarantine.phase == Phase.HELD
+            quarantine.trials.offer(first, quarantine.lastCrashMillis, nowMillis, isRetried)
         }
     }
 
@@ -232,7 +250,7 @@
                 start(suspect.part, Quarantine(crashes, lastCrashMillis, renewals = 0, trials), "crashes", servers)
             }
             lastCrashMillis <= known.lastCrashMillis -> Unit
-            known.isReleased -> {
+            known.phase != Phase.REFUSED -> {
                 val server = suspect.crashes.last().server
                 val renewed = Quarantine(crashes, lastCrashMillis, known.renewals + 1, known.trials)
                 start(suspect.part, renewed, "renewed", setOf(server))
@@ -251,7 +269,7 @@
             if (quarantine.isReleased || suspects.any { it.part == part }) continue
             val own = settled.filter { part in it.parts }
             if (own.isEmpty() || !explained.containsAll(own)) continue
-            quarantine.isReleased = true
+            quarantine.phase = Phase.RELEASED
             recordRelease(part, quarantine, "other parts explain its crashes")
         }
     }
@@ -280,18 +298,35 @@
         val answered = quarantines.filter { (part, quarantine) -> isAnsweredSince(part, quarantine.lastCrashMillis) }
         for ((part, quarantine) in answered) {
             quarantines.remove(part)
-            if (!quarantine.isReleased) recordRelease(part, quarantine, "answered")
+            if (quarantine.isReleased) continue
+            quarantine.phase = Phase.RELEASED
+            recordRelease(part, quarantine, "answered")
         }
         for ((part, quarantine) in quarantines) {
             val ageMillis = nowMillis - quarantine.lastCrashMillis
-            if (quarantine.isReleased || ageMillis < durationMillis(quarantine.renewals)) continue
-            quarantine.isReleased = true
+            val phase = phase(ageMillis, quarantine.renewals)
+            if (phase <= quarantine.phase) continue
+            quarantine.phase = phase
             recordRelease(part, quarantine, "no crash for $ageMillis ms")
         }
     }
 
-    private fun recordRelease(part: String, quarantine: Quarantine, reason: String) =
-        log.record("part_released", "part" to part, "crashes" to quarantine.crashes, "reason" to reason)
+    private fun recordRelease(part: String, quarantine: Quarantine, reason: String) = log.record(
+        "part_released",
+        "part" to part,
+        "crashes" to quarantine.crashes,
+        "reason" to reason,
+        "items" to if (quarantine.phase == Phase.HELD) "held" else "released",
+    )
+
+    private fun phase(lastCrashAgeMillis: Long, renewals: Int): Phase {
+        val durationMillis = durationMillis(renewals)
+        return when {
+            lastCrashAgeMillis < durationMillis -> Phase.REFUSED
+            lastCrashAgeMillis < durationMillis * 2 -> Phase.HELD
+            else -> Phase.RELEASED
+        }
+    }
 
     private fun lastAnsweredMillis(part: String): Long? {
         val own = ownAnswers[part]
--- a/core/src/test/kotlin/ragwortbarrow/core/quarantine/PartTrialsTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/quarantine/PartTrialsTest.kt
@@ -34,7 +34,7 @@
         /** Starts the trial that is due, whose outcome is [outcome]. */
         fun rebalance(outcome: (Node, HeldItem) -> Unit) {
             quarantine.update()
-            val held = items.filter { quarantine.quarantinedPart(it.sharedParts) != null }
+            val held = items.filter { quarantine.heldPart(it.sharedParts) != null }
             val isInMajority = nodes.count { it.group == group } * 2 > nodes.size
             quarantine.updateHeldItems(if (isInMajority) held else emptyList())
             val due = held.firstOrNull { hasRoom && quarantine.isTrialDue(it) } ?: return
@@ -119,6 +119,33 @@
         expectThat(allSent.size).isEqualTo(3)
     }
 
+    @Test
+    fun `after the end of a quarantine held items are sent one at a time until one is answered`() {
+        repeat(4) { Node(item("item-$it-a"), item("item-$it-b")) }
+        blame()
+        pass(100_000)
+        expectThat(allSent.size).isEqualTo(3)
+        pass(100_000)
+        expectThat(allSent.size).isEqualTo(4)
+        for (node in nodes) expectThat(node.quarantine.quarantinedPart(listOf("blamed"))).isEqualTo("blamed")
+        pass(190_000)
+        expectThat(allSent.size).isEqualTo(4)
+        pass(60_000, ::answer)
+        expectThat(allSent.size).isEqualTo(5)
+        for (node in nodes) expectThat(node.quarantine.heldPart(listOf("blamed"))).isNull()
+    }
+
+    @Test
+    fun `held items are released at last although no trial could be sent`() {
+        Node(item("item")).hasRoom = false
+        blame()
+        pass(200_000)
+        expectThat(nodes[0].quarantine.quarantinedPart(listOf("blamed"))).isNull()
+        expectThat(nodes[0].quarantine.heldPart(listOf("blamed"))).isEqualTo("blamed")
+        pass(50_000)
+        expectThat(nodes[0].quarantine.heldPart(listOf("blamed"))).isNull()
+    }
+
     @Test
     fun `another node tries if the one with the first item has no room for it`() {
         repeat(3) { Node(item("item-$it")) }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -241,7 +241,7 @@
     /** Whether an item need not wait because servers crash on a part of its prompt, or may do so. */
     private fun isStartable(job: ActiveJob, progress: ItemProgress): Boolean {
         if (timer.monotonicMillis() < progress.startableAtMillis) return false
-        val part = components.quarantine.quarantinedPart(progress.sharedPromptParts)
+        val part = components.quarantine.heldPart(progress.sharedPromptParts)
         if (part == null) {
             job.withheld -= progress
         } else if (job.withheld.add(progress)) {
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
@@ -86,7 +86,7 @@
         /** Sends the item that waits here if it is due as a trial. */
         private fun tryHeldItem() {
             val item = heldItem ?: return
-            val isHeld = quarantine.quarantinedPart(item.sharedParts) != null
+            val isHeld = quarantine.heldPart(item.sharedParts) != null
             quarantine.updateHeldItems(listOfNotNull(item.takeIf { isHeld }))
             if (!isHeld || !quarantine.isTrialDue(item)) return
             quarantine.startTrial(item.sharedParts)
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -159,6 +159,20 @@
         expectThat(itemsInFlight()).isEqualTo(3)
     }
 
+    /** Guards against servers that all end at once, each with one of the items that were held. */
+    @Test
+    fun `items whose part was in quarantine are not all sent at its end`() {
+        blamePart()
+        pass(120_000)
+        expectThat(fixture.quarantine.size).isEqualTo(0)
+        runner.startJob(fixture.job(items = 3, headers = mapOf("parts" to "common,subject")), ResultLog(3))
+        pass(5_000)
+        expectThat(itemsInFlight()).isEqualTo(1)
+        fixture.quarantine.recordAnswer(listOf("common", "subject"))
+        pass(500)
+        expectThat(itemsInFlight()).isEqualTo(3)
+    }
+
     @Test
     fun `no item is tried while this node does not reach most others`() {
         blamePart()
