--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerLimitFleetTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerLimitFleetTest.kt
@@ -26,6 +26,7 @@
 import ragwortbarrow.core.time.ManualTimerService
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
@@ -185,6 +186,19 @@
         expectThat(mostInWindow()).isLessThanOrEqualTo(allowedInWindow(6.0))
     }
 
+    /** It knows the other nodes from the platform's store alone. */
+    @Test
+    fun `the limit is kept while a node runs that was cut off when it started`() {
+        fleet(domains = 3, size = 3)
+        name(6.0)
+        val node = start(domain = 1, number = 3)
+        node.partition = 1
+        nodes.values.forEach { node.members.addMember(it.self) }
+        load(60_000)
+        expectThat(node.sentCount).isGreaterThan(0)
+        expectThat(mostInWindow()).isLessThanOrEqualTo(allowedInWindow(6.0))
+    }
+
     /** Each part takes the whole limit once it counts the nodes of the other one as ended. */
     @Test
     fun `the limit is kept after a partition that lasted until the parts forgot each other`() {
