Let relays of parts that forgot each other meet soon

Cause: each node called its former members in turn, one a second. Only relays tell others of a member, so parts merge once their relays meet, and the time until then grew with the number of lost nodes and of dead addresses. All nodes also began with the same address in the same second, and in a fleet without a partition every node went on calling the dead ones.

What callers saw, by reading: after a long partition of a large fleet, each part went on with the whole rate of a customer until it had merged.

The new test of FleetStateExchangeTest failed before (128 of 179 nodes reachable after 10 s) and passes now.

Change: only relays call, twice a second, and every other call is to one of the first three former members of each failure domain.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
@@ -88,14 +88,22 @@
     }
 
     /**
-     * The next former member to call, in the same order. Parts of a fleet that were cut off from each other until their
-     * members expired find each other again through these calls.
+     * The next former member to call; null if this node is no relay. Parts of a fleet that were cut off from each other
+     * until their members expired find each other again through these calls. Only relays tell others of a member, so
+     * every other call is to one that may be a relay now.
      */
     fun nextFormer(): FleetNode? {
+        if (!isRelay) return null
         val former = members.former().sortedWith(RELAY_ORDER)
-        return if (former.isEmpty()) null else former[nextFormerIndex++ % former.size]
+        if (former.isEmpty()) return null
+        val index = nextFormerIndex++
+        val called = if (index % 2 == 0) firstOfEachDomain(former) else former
+        return called[index / 2 % called.size]
     }
 
+    private fun firstOfEachDomain(nodes: List<FleetNode>) =
+        nodes.groupBy { it.failureDomain }.values.flatMap { it.take(RELAYS) }
+
     /**
      * Whether this node watches the platform: the first [RELAYS] reachable nodes of a failure domain do, and as many
      * again if the relay of this node can't reach the platform's store.
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -350,8 +350,8 @@
         /** Periods between two calls to unreachable members. */
         const val UNREACHABLE_MEMBER_PERIODS = 5L
 
-        /** Periods between two calls to former members, most of which have ended. */
-        const val FORMER_MEMBER_PERIODS = 10L
+        /** Periods between two calls of a relay to former members, most of which have ended. */
+        const val FORMER_MEMBER_PERIODS = 5L
 
         /** Messages that list the members: the first ones, those after a change, and then one in ten periods. */
         const val INITIAL_MEMBER_LISTS = 3
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
@@ -259,6 +259,19 @@
         for (node in nodes.values) expectThat(node.members.reachable().size).isEqualTo(nodes.size - 1)
     }
 
+    /** Only relays tell of others, so relays of both parts have to find each other. */
+    @Test
+    fun `large parts of a fleet that were cut off until they forgot each other merge again soon`() {
+        fleet(domains = 3, size = 60)
+        val cutOff = nodes.values.filter { it.self.failureDomain == FailureDomainId("domain-1") }
+        cutOff.forEach { it.partition = 1 }
+        timer.advance(45_000)
+        expectThat(cutOff.first().members.size).isEqualTo(cutOff.size)
+        cutOff.forEach { it.partition = 0 }
+        timer.advance(10_000)
+        for (node in nodes.values) expectThat(node.members.reachable().size).isEqualTo(nodes.size - 1)
+    }
+
     @Test
     fun `the removal of a member is reported, so that its connections can be closed`() {
         fleet(domains = 1, size = 3)
