Send no trials from a part that has only forgotten the others

Cause: a node offers held batch items as trials while it reaches more than half of the members. After 30 s of a partition the others are no members, so every part counted as the larger half. The class is that of: a decision on the fleet's size that counts expired members as ended.

What callers saw, by reading: each part may send three trials of a harmful part, and each trial ends a server and the answers there.

Evidence: JobRunnerTest, a node whose two peers expired: an item was tried before, none in 20 s now.

Change: members that expired without leaving count for ten minutes, as for the limits of servers. The price: where more than half of the fleet ended without leaving, held items wait that long in place of 30 s.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -73,6 +73,9 @@
     /** Number of members, including this node and unreachable ones. */
     val size: Int get() = members.size + 1
 
+    /** [size] and the number of expired members that may be running. */
+    val sizeWithExpired: Int get() = size + formerMembers.values.count { mayRun(it) }
+
     /** Number of unreachable members. */
     val unreachableCount: Int get() = members.values.count { !isReachable(it) }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -255,7 +255,7 @@
 
     /** Offers the items that wait for the end of a quarantine as trials, unless other groups of nodes may send some. */
     private fun updateHeldItems() {
-        val isInMajority = (components.members.reachable().size + 1) * 2 > components.members.size
+        val isInMajority = (components.members.reachable().size + 1) * 2 > components.members.sizeWithExpired
         val held = if (isStopping || !isInMajority) {
             emptyList()
         } else {
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -10,6 +10,7 @@
 import ragwortbarrow.core.placement.Occupancy
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
@@ -189,4 +190,17 @@
         }
         expectThat(itemsInFlight()).isEqualTo(1)
     }
+
+    /** Each part of a partitioned fleet would send three trials otherwise. */
+    @Test
+    fun `no item is tried while this node does not reach most others, also after these have expired as members`() {
+        blamePart()
+        val peers = (2..3).map { FleetNode(VmId("vm-$it"), "127.0.0.1:$it", 1, fixture.self.failureDomain) }
+        peers.forEach { fixture.members.recordContact(it, isLeaving = false) }
+        fixture.timer.advance(31_000)
+        expectThat(fixture.members.removeExpired()).hasSize(2)
+        runner.startJob(fixture.job(items = 3, headers = mapOf("parts" to "common,subject")), ResultLog(3))
+        pass(20_000)
+        expectThat(itemsInFlight()).isEqualTo(0)
+    }
 }
