Tell callers of limited servers different times to come back

Cause: a request that no server takes because all servers of its service limit their requests was answered with the time of the next permit and up to half of it again, whatever number of callers had been told the same. Beyond a third of the caller's time, the longest that callers wait, all were told exactly that third.

What callers saw: after a jump in load they came back together, several times as many as there were permits, and most were rejected again; they come back only once.

Change: ReturnQueue gives each rejected caller the time of a later permit of the node's shares together, ten seconds and a third of its time at most. A caller without a place in that time is told a random time in its second half. A place ends as its time passes and reserves nothing. Requests that cannot be rejected, which are placed again every few milliseconds, take no place. Only sound servers count where there are any.

A test of OnlinePlacementTest stated the spread of half of the wait. Its replacement states the time of each caller that gets a permit, and the range and spread of the others.

--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -2,6 +2,7 @@
 
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.time.TimerService
 import kotlin.math.ceil
 import kotlin.random.Random
 
@@ -45,8 +46,11 @@
     private val tracker: ServerTracker,
     private val latencies: LatencyEstimates,
     private val localDomain: FailureDomainId,
+    timer: TimerService,
     private val random: Random = Random.Default,
 ) {
+    private val returnQueue = ReturnQueue(timer, random)
+
     /** The slots by server that [PreferredSlots] assigned to this node; null if there are no other nodes. */
     var preferredSlots: Map<BackendServerId, Int>? = null
 
@@ -172,22 +176,31 @@
     private fun fallback(request: PlacementRequest): Placement {
         val candidates = tracker.nonDraining(request.service).filter { it.id !in request.excludedServers }
         val (permitted, limited) = candidates.partition { tracker.permitWaitMillis(it) == 0.0 }
+        val soundLimited = tracker.limited(request.service, request.excludedServers)
         val trial = permitted.filter { tracker.localOccupancy(it.id).total == 0 }.randomOrNull(random)
         return when {
             tracker.eligible(request.service, request.excludedServers).isNotEmpty() ->
                 Placement.NoServer(DEFAULT_RETRY_MILLIS)
-            tracker.isLimited(request.service, request.excludedServers) -> limitedByServers(limited, request)
+            soundLimited.isNotEmpty() -> limitedByServers(soundLimited, request)
             trial != null -> Placement.Send(trial, 0.0)
             limited.isNotEmpty() -> limitedByServers(limited, request)
             else -> Placement.NoServer(DEFAULT_RETRY_MILLIS)
         }
     }
 
-    /** The servers that are left take no request of this node now; the first one that will tells when to retry. */
+    /** The servers that are left take no request of this node now; their next permits tell when to retry. */
     private fun limitedByServers(limited: List<BackendServer>, request: PlacementRequest): Placement {
         val waitMillis = limited.mapNotNull { tracker.permitWaitMillis(it) }.minOrNull()
             ?: DEFAULT_RETRY_MILLIS.toDouble()
-        return Placement.Full(waitMillis, retryAfterMillis(waitMillis, request))
+        // A request that is not rejected is placed again and again until a server takes it.
+        if (!request.isRefusable) return Placement.Full(waitMillis, retryAfterMillis(waitMillis, request))
+        val returnMillis = returnQueue.enter(
+            request.service,
+            permitWaitMillis = waitMillis.coerceAtLeast(MIN_RETRY_MILLIS.toDouble()),
+            intervalMillis = MILLIS_PER_SECOND / limited.sumOf { tracker.permitsPerSecond(it) },
+            maxWaitMillis = maxRetryMillis(request).toDouble(),
+        )
+        return Placement.Full(waitMillis, ceil(returnMillis).toLong().coerceAtLeast(MIN_RETRY_MILLIS))
     }
 
     /**
@@ -196,10 +209,13 @@
      */
     private fun retryAfterMillis(waitMillis: Double, request: PlacementRequest): Long {
         val spreadMillis = waitMillis * (1 + random.nextDouble() * RETRY_SPREAD)
-        val maxRetryMillis = maxOf((request.remainingDeadlineMillis / RETRY_DIVISOR).toLong(), MIN_RETRY_MILLIS)
-        return ceil(spreadMillis).toLong().coerceIn(MIN_RETRY_MILLIS, maxRetryMillis)
+        return ceil(spreadMillis).toLong().coerceIn(MIN_RETRY_MILLIS, maxRetryMillis(request))
     }
 
+    /** The longest time that the caller of [request] waits before it comes back. */
+    private fun maxRetryMillis(request: PlacementRequest): Long =
+        maxOf((request.remainingDeadlineMillis / RETRY_DIVISOR).toLong(), MIN_RETRY_MILLIS)
+
     private companion object {
         /** Share of the target available for queueing and the first byte; the rest covers network and variance. */
         const val TARGET_SHARE = 0.85
@@ -234,6 +250,8 @@
         /** Share of the expected wait over which retries are spread. */
         const val RETRY_SPREAD = 0.5
 
+        const val MILLIS_PER_SECOND = 1_000.0
+
         /** Callers are told to wait for at most their remaining time divided by this. */
         const val RETRY_DIVISOR = 3.0
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/SendPermits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/SendPermits.kt
@@ -8,6 +8,9 @@
      */
     fun waitMillis(server: BackendServer, isSpare: Boolean): Double?
 
+    /** The steady rate at which this node may send requests to [server]; 0 if only other nodes may. */
+    fun permitsPerSecond(server: BackendServer): Double
+
     /** Records that a request is sent to [server]. */
     fun recordSend(server: BackendServer)
 
@@ -16,6 +19,8 @@
         val UNLIMITED = object : SendPermits {
             override fun waitMillis(server: BackendServer, isSpare: Boolean) = 0.0
 
+            override fun permitsPerSecond(server: BackendServer) = Double.POSITIVE_INFINITY
+
             override fun recordSend(server: BackendServer) = Unit
         }
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
@@ -122,9 +122,9 @@
         return sound(service, excludedServers).filter { permits.waitMillis(it, isSpare = isBatch) == 0.0 }
     }
 
-    /** Whether a server of [service] would be eligible if it took more requests now. */
-    fun isLimited(service: String, excludedServers: Set<BackendServerId>): Boolean =
-        sound(service, excludedServers).any { permits.waitMillis(it, isSpare = false) != 0.0 }
+    /** The servers of [service] that would be eligible if they took more requests now. */
+    fun limited(service: String, excludedServers: Set<BackendServerId>): List<BackendServer> =
+        sound(service, excludedServers).filter { permits.waitMillis(it, isSpare = false) != 0.0 }
 
     private fun sound(service: String, excludedServers: Set<BackendServerId>): List<BackendServer> {
         val ofService = serversByService[service] ?: return emptyList()
@@ -177,6 +177,9 @@
      */
     fun permitWaitMillis(server: BackendServer): Double? = permits.waitMillis(server, isSpare = false)
 
+    /** The steady rate at which this node may send requests to [server]; 0 if only other nodes may. */
+    fun permitsPerSecond(server: BackendServer): Double = permits.permitsPerSecond(server)
+
     /** The requests in flight at [server], from this node and as reported by all others. */
     fun occupancy(server: BackendServerId): Occupancy = localOccupancy(server) + (peerOccupancies[server] ?: NONE)
 
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitShare.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitShare.kt
@@ -7,7 +7,10 @@
  * [BURST_MILLIS], since online load jumps for some seconds. A share that begins at `startNanos` has nothing
  * saved up.
  */
-internal class LimitShare(private var intervalMillis: Double, startNanos: Long) {
+internal class LimitShare(intervalMillis: Double, startNanos: Long) {
+    var intervalMillis = intervalMillis
+        private set
+
     /** When all requests that were sent would have been due at a steady rate. */
     private var usedUntilMillis = millis(startNanos) + intervalMillis + savedMillis
 
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -156,6 +156,11 @@
         return (pauseMillis - (nowNanos - heardNanos) / NANOS_PER_MILLI).toDouble().coerceAtLeast(0.0)
     }
 
+    override fun permitsPerSecond(server: BackendServer): Double {
+        val statement = limiting(server) ?: return Double.POSITIVE_INFINITY
+        return share(server, statement)?.let { MILLIS_PER_SECOND / it.intervalMillis } ?: 0.0
+    }
+
     override fun recordSend(server: BackendServer) {
         val statement = limiting(server) ?: return
         val share = share(server, statement)
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/ManyNodesSimulation.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/ManyNodesSimulation.kt
@@ -50,7 +50,7 @@
             recordDuration(SERVICE, DURATION_MILLIS)
             recordFirstByte(SERVICE, FIRST_EVENT_MILLIS)
         }
-        OnlinePlacement(tracker, latencies, domain, Random(seed + index)).apply {
+        OnlinePlacement(tracker, latencies, domain, timer, Random(seed + index)).apply {
             if (usesPreferredSlots) preferredSlots = PreferredSlots.assign(list, vms, vms[index])
         }
     }
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/OnlinePlacementTest.kt
@@ -6,6 +6,7 @@
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.time.ManualTimerService
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -20,7 +21,7 @@
     private val domain = FailureDomainId("dalton")
     private val tracker = ServerTracker(timer)
     private val latencies = LatencyEstimates()
-    private val placement = OnlinePlacement(tracker, latencies, domain, Random(7))
+    private val placement = OnlinePlacement(tracker, latencies, domain, timer, Random(7))
     private val request = PlacementRequest(SERVICE, remainingTargetMillis = 300.0, remainingDeadlineMillis = 5_000)
 
     private fun server(name: String, inDomain: FailureDomainId = domain, slots: Int = 8) =
@@ -177,6 +178,9 @@
             else -> 0.0
         }
 
+        override fun permitsPerSecond(server: BackendServer): Double =
+            if (server.id.value in servers) 1_000 / intervalMillis else Double.POSITIVE_INFINITY
+
         override fun recordSend(server: BackendServer) {
             if (server.id.value in servers) savedCount--
         }
@@ -187,7 +191,7 @@
         val permits = Limited(setOf("limited"), savedCount = 3, intervalMillis = 500.0)
         val limitedTracker = ServerTracker(timer, permits = permits)
         limitedTracker.replace(listOf(server("limited"), server("free")))
-        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, Random(7))
+        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, timer, Random(7))
         limitedPlacement.preferredSlots = emptyMap()
         latencies.recordDuration(SERVICE, DURATION_MILLIS.toDouble())
         val placed = (1..12).map {
@@ -197,15 +201,30 @@
         expectThat(placed).isEqualTo(List(8) { "free" } + List(3) { "limited" } + null)
     }
 
+    /** Callers wait for at most a third of their 5 s. */
     @Test
-    fun `a request that servers take no more is rejected until one takes the next`() {
+    fun `callers whom no server takes are told one permit each, and the rest to come back late and not all at once`() {
         val permits = Limited(setOf("a", "b"), savedCount = 0, intervalMillis = 500.0)
         val limitedTracker = ServerTracker(timer, permits = permits)
         limitedTracker.replace(listOf(server("a"), server("b")))
-        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, Random(7))
-        val retriesMillis = (1..100).map { (limitedPlacement.place(request) as Placement.Full).retryAfterMillis }
-        expectThat(retriesMillis.min()).isIn(500L..550L)
-        expectThat(retriesMillis.max()).isIn(700L..750L)
+        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, timer, Random(7))
+        val placed = (1..105).map { limitedPlacement.place(request) as Placement.Full }
+        expectThat(placed.map { it.waitMillis }).all { isEqualTo(500.0) }
+        val retriesMillis = placed.map { it.retryAfterMillis }
+        expectThat(retriesMillis.take(5)).isEqualTo(listOf(500L, 750L, 1_000L, 1_250L, 1_500L))
+        expectThat(retriesMillis.drop(5)).all { isIn(833L..1_667L) }
+        expectThat(retriesMillis.drop(5).count { it < 1_250 }).isIn(35..65)
+    }
+
+    /** The request waits for a server and is placed every few milliseconds meanwhile. */
+    @Test
+    fun `a request that cannot be rejected takes no permit from those that are told when to come back`() {
+        val permits = Limited(setOf("a"), savedCount = 0, intervalMillis = 500.0)
+        val limitedTracker = ServerTracker(timer, permits = permits)
+        limitedTracker.replace(listOf(server("a")))
+        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, timer, Random(7))
+        repeat(50) { limitedPlacement.place(request.copy(isRefusable = false)) }
+        expectThat(limitedPlacement.place(request)).isA<Placement.Full>().get { retryAfterMillis }.isEqualTo(500)
     }
 
     @Test
@@ -217,7 +236,7 @@
             limitedTracker.recordFailure(BackendServerId("dead"))
             limitedTracker.recordOnlineOutcome(BackendServerId("failing"), isAnswered = false)
         }
-        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, Random(7))
+        val limitedPlacement = OnlinePlacement(limitedTracker, latencies, domain, timer, Random(7))
         repeat(20) { expectThat(limitedPlacement.place(request)).isA<Placement.Full>() }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -136,7 +136,7 @@
     private val failover = JobFailover(members, plan, connector, jobStore, runner, timer, scope, log)
     private val jobHandler =
         BatchJobHandler(runner, jobStore, members, connector, cancelledJobs, protocol, timer, scope, log)
-    private val placement = OnlinePlacement(tracker, latencies, settings.failureDomain)
+    private val placement = OnlinePlacement(tracker, latencies, settings.failureDomain, timer)
     private val forwarder = Forwarder(
         Forwarder.Components(tracker, placement, latencies, backendCalls, quarantine),
         protocol,
