Keep former members in a class of their own

From the read-through, without a change of behaviour: FormerMembers takes the bookkeeping out of FleetMembers, one test with two sizes replaces two with the same body and bounds, and a condition in PartTrials gets a name.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -6,9 +6,9 @@
 
 /**
  * This node's view of the members of the fleet. A node that was not heard from for [unreachableAfterMillis] counts as
- * unreachable. It stays a member until [expireAfterMillis], because it may still be running behind a partition, and its
- * address is kept after that, because the partition may last longer. Reports through a relay are older, so a node that
- * is known through a relay counts as unreachable after [relayedUnreachableAfterMillis].
+ * unreachable. It stays a member until [expireAfterMillis], because it may still be running behind a partition, and is
+ * known as a former one after that, because the partition may last longer. Reports through a relay are older, so a node
+ * that is known through a relay counts as unreachable after [relayedUnreachableAfterMillis].
  */
 class FleetMembers(
     val self: FleetNode,
@@ -17,7 +17,7 @@
     private val relayedUnreachableAfterMillis: Long = 3_000,
     private val expireAfterMillis: Long = 30_000,
     private val failedAfterMillis: Long = 4_000,
-    private val endedAfterMillis: Long = 600_000,
+    endedAfterMillis: Long = 600_000,
 ) {
     /** A member that was added without contact counts as reachable at first, until it could have responded. */
     private class Member(
@@ -31,10 +31,7 @@
 
     private val members = HashMap<VmId, Member>()
 
-    private class FormerMember(val node: FleetNode, val lastContactMillis: Long)
-
-    /** Expired members by address, in the order in which they expired. */
-    private val formerMembers = LinkedHashMap<String, FormerMember>()
+    private val formerMembers = FormerMembers(timer, endedAfterMillis)
 
     /** Number of former members that counted as possibly running when this was last checked. */
     private var runningFormerCount = 0
@@ -59,22 +56,20 @@
     /** Other members that are not leaving, including unreachable ones, which may be running behind a partition. */
     fun notLeaving(): List<FleetNode> = members.values.filter { !it.isLeaving }.map { it.node }
 
-    /** Nodes that expired as members without leaving, up to [MAX_FORMER_MEMBERS] of them. */
-    fun former(): List<FleetNode> = formerMembers.values.map { it.node }
+    /** Nodes that expired as members without leaving. */
+    fun former(): List<FleetNode> = formerMembers.nodes
 
     /**
-     * Other nodes that may be running and sending requests: members that are not leaving, and nodes that expired as
-     * members but were heard from in the last [endedAfterMillis], since a partition may last that long.
+     * Other nodes that may be running and sending requests: members that are not leaving, and nodes that have expired
+     * but may be running behind a partition.
      */
-    fun possiblyRunning(): List<FleetNode> = notLeaving() + formerMembers.values.filter { mayRun(it) }.map { it.node }
-
-    private fun mayRun(former: FormerMember) = timer.monotonicMillis() - former.lastContactMillis <= endedAfterMillis
+    fun possiblyRunning(): List<FleetNode> = notLeaving() + formerMembers.possiblyRunning
 
     /** Number of members, including this node and unreachable ones. */
     val size: Int get() = members.size + 1
 
     /** [size] and the number of expired members that may be running. */
-    val sizeWithExpired: Int get() = size + formerMembers.values.count { mayRun(it) }
+    val sizeWithExpired: Int get() = size + formerMembers.possiblyRunningCount
 
     /** Number of unreachable members. */
     val unreachableCount: Int get() = members.values.count { !isReachable(it) }
@@ -117,8 +112,7 @@
 
     private fun insert(member: Member) {
         members[member.node.vm] = member
-        // A replaced node may have another address, and another node the address.
-        formerMembers.values.removeIf { it.node.vm == member.node.vm || it.node.address == member.node.address }
+        formerMembers.removeReplaced(member.node)
         changeCount++
         compositionCount++
     }
@@ -184,7 +178,7 @@
         val expired = members.values.filter { nowMillis - it.lastContactMillis > expireAfterMillis }
         expired.forEach { remove(it) }
         if (expired.isNotEmpty()) changeCount++
-        val runningFormer = formerMembers.values.count { mayRun(it) }
+        val runningFormer = formerMembers.possiblyRunningCount
         if (expired.isNotEmpty() || runningFormer != runningFormerCount) compositionCount++
         runningFormerCount = runningFormer
         return expired.map { it.node }
@@ -192,16 +186,9 @@
 
     private fun remove(member: Member) {
         members.remove(member.node.vm)
-        if (member.isLeaving) return
-        formerMembers[member.node.address] = FormerMember(member.node, member.lastContactMillis)
-        if (formerMembers.size > MAX_FORMER_MEMBERS) formerMembers.remove(formerMembers.keys.first())
+        if (!member.isLeaving) formerMembers.add(member.node, member.lastContactMillis)
     }
 
     private fun isReachable(member: Member) = timer.monotonicMillis() - member.lastContactMillis <=
         if (member.isRelayed) relayedUnreachableAfterMillis else unreachableAfterMillis
-
-    private companion object {
-        /** As many as the largest fleet has members. */
-        const val MAX_FORMER_MEMBERS = 400
-    }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
@@ -36,11 +36,8 @@
      * periodically.
      */
     fun offer(item: String?, lastCrashMillis: Long, nowMillis: Long, isRetried: Boolean = false) {
-        if (announced != null &&
-            nowMillis - announcedMillis >= SEND_MILLIS
-        ) {
-            yieldsUntilMillis = nowMillis + YIELD_MILLIS
-        }
+        val isOverdue = announced != null && nowMillis - announcedMillis >= SEND_MILLIS
+        if (isOverdue) yieldsUntilMillis = nowMillis + YIELD_MILLIS
         val candidate = item?.takeIf { nowMillis >= yieldsUntilMillis }
         // A node that was paused does not know what happened meanwhile.
         val isContinued = candidate == ownCandidate && nowMillis - offeredMillis <= MAX_OFFER_GAP_MILLIS
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
@@ -10,8 +10,8 @@
  * Finds parts of prompts on which backend servers crash, so that requests with them are refused. The evidence of all
  * nodes counts: requests that were in flight at a crash, and parts that were answered since. A quarantine ends after a
  * time without crashes, or when the part is answered after all, for example by the trial of a held batch item
- * ([PartTrials]). Batch items, which may be many, are held for as long again if nobody has shown meanwhile that the part
- * is sound. Its memory is bounded. Confined to one thread.
+ * ([PartTrials]). Batch items, which may be many, are held for as long again if nobody has shown meanwhile that the
+ * part is sound. Its memory is bounded. Confined to one thread.
  */
 class PromptQuarantine(private val timer: TimerService, private val log: DecisionLog) {
     private class Disconnect(
--- a/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/FleetStateExchangeTest.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import ragwortbarrow.core.fleet.FleetConnector
 import ragwortbarrow.core.fleet.FleetMembers
 import ragwortbarrow.core.fleet.FleetNode
@@ -247,22 +249,11 @@
         }
     }
 
-    @Test
-    fun `parts of a fleet that were cut off until they forgot each other merge again`() {
-        fleet(domains = 3, size = 4)
-        val cutOff = nodes.values.filter { it.self.failureDomain == FailureDomainId("domain-1") }
-        cutOff.forEach { it.partition = 1 }
-        timer.advance(45_000)
-        expectThat(cutOff.first().members.size).isEqualTo(cutOff.size)
-        cutOff.forEach { it.partition = 0 }
-        timer.advance(10_000)
-        for (node in nodes.values) expectThat(node.members.reachable().size).isEqualTo(nodes.size - 1)
-    }
-
-    /** Only relays tell of others, so relays of both parts have to find each other. */
-    @Test
-    fun `large parts of a fleet that were cut off until they forgot each other merge again soon`() {
-        fleet(domains = 3, size = 60)
+    /** Only relays tell others of a node, so the relays of both parts have to find each other among many nodes. */
+    @ParameterizedTest
+    @ValueSource(ints = [4, 60])
+    fun `parts of a fleet that were cut off until they forgot each other merge again soon`(domainSize: Int) {
+        fleet(domains = 3, size = domainSize)
         val cutOff = nodes.values.filter { it.self.failureDomain == FailureDomainId("domain-1") }
         cutOff.forEach { it.partition = 1 }
         timer.advance(45_000)
