Count nodes that were never heard from as ended once they expire

Cause: nodes register in the platform's store at their start and nobody deletes the entries. Since a node that starts counts each entry for ten minutes, also those of nodes that were replaced long ago.

Evidence: FleetMembersTest, a node that was never heard from counts as ended once it has expired: fails before, passes now.

Change: only nodes that were heard from count after they expired; the others count for 30 s, as before.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -186,7 +186,7 @@
 
     private fun remove(member: Member) {
         members.remove(member.node.vm)
-        if (!member.isLeaving) formerMembers.add(member.node, member.lastContactMillis)
+        if (!member.isLeaving) formerMembers.add(member.node, member.lastContactMillis.takeIf { member.hadContact })
     }
 
     private fun isReachable(member: Member) = timer.monotonicMillis() - member.lastContactMillis <=
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
@@ -5,10 +5,11 @@
 
 /**
  * Nodes that expired as members of the fleet without leaving, up to [MAX_NODES] of them. They may have ended, or run
- * behind a partition; a node that was not heard from for [endedAfterMillis] counts as ended.
+ * behind a partition; a node that was not heard from for [endedAfterMillis] counts as ended. One that was never heard from
+ * counts as ended at once: the platform's store also names nodes that ended long ago.
  */
 internal class FormerMembers(private val timer: TimerService, private val endedAfterMillis: Long) {
-    private class FormerMember(val node: FleetNode, val lastContactMillis: Long)
+    private class FormerMember(val node: FleetNode, val lastContactMillis: Long?)
 
     /** By address, in the order in which they expired. */
     private val members = LinkedHashMap<String, FormerMember>()
@@ -21,9 +22,11 @@
     /** Size of [possiblyRunning]. */
     val possiblyRunningCount: Int get() = members.values.count { mayRun(it) }
 
-    private fun mayRun(member: FormerMember) = timer.monotonicMillis() - member.lastContactMillis <= endedAfterMillis
+    private fun mayRun(member: FormerMember) =
+        member.lastContactMillis?.let { timer.monotonicMillis() - it <= endedAfterMillis } ?: false
 
-    fun add(node: FleetNode, lastContactMillis: Long) {
+    /** Adds [node], which was last heard from at [lastContactMillis], or never if that is null. */
+    fun add(node: FleetNode, lastContactMillis: Long?) {
         members[node.address] = FormerMember(node, lastContactMillis)
         if (members.size > MAX_NODES) members.remove(members.keys.first())
     }
--- a/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
@@ -64,6 +64,20 @@
         expectThat(members.compositionCount).isEqualTo(before + 1)
     }
 
+    /** The platform's store names nodes that ended long ago. */
+    @Test
+    fun `a node that was never heard from counts as ended once it has expired`() {
+        members.addMember(other)
+        timer.advance(29_000)
+        members.removeExpired()
+        expectThat(members.possiblyRunning()).containsExactly(other)
+        timer.advance(2_000)
+        members.removeExpired()
+        expectThat(members.possiblyRunning()).isEmpty()
+        expectThat(members.sizeWithExpired).isEqualTo(1)
+        expectThat(members.former()).containsExactly(other)
+    }
+
     @Test
     fun `the composition changes when a member joins or leaves, not when it is unreachable or restarts`() {
         members.recordContact(other, isLeaving = false)
