Do not divide limits anew when members expire and return

Cause: the composition of the fleet counted as changed with each member that expired or returned, although expired members keep their shares, so each limit was divided anew for nothing.

Change: a change is counted when the number of nodes that may be running has fallen, or a node is added that was not counted.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -33,8 +33,8 @@
 
     private val formerMembers = FormerMembers(timer, endedAfterMillis)
 
-    /** Number of former members that counted as possibly running when this was last checked. */
-    private var runningFormerCount = 0
+    /** Size of [possiblyRunning] when it was last checked. */
+    private var possiblyRunningCount = 0
 
     /**
      * Grows when a member is added, becomes reachable again, restarts, leaves or is removed, but not when one becomes
@@ -112,9 +112,9 @@
 
     private fun insert(member: Member) {
         members[member.node.vm] = member
+        if (!formerMembers.mayRun(member.node)) compositionCount++
         formerMembers.removeReplaced(member.node)
         changeCount++
-        compositionCount++
     }
 
     /** Records a message from a member; returns true if the member is new, reachable again, restarted or leaving. */
@@ -178,9 +178,9 @@
         val expired = members.values.filter { nowMillis - it.lastContactMillis > expireAfterMillis }
         expired.forEach { remove(it) }
         if (expired.isNotEmpty()) changeCount++
-        val runningFormer = formerMembers.possiblyRunningCount
-        if (expired.isNotEmpty() || runningFormer != runningFormerCount) compositionCount++
-        runningFormerCount = runningFormer
+        val runningCount = members.values.count { !it.isLeaving } + formerMembers.possiblyRunningCount
+        if (runningCount < possiblyRunningCount) compositionCount++
+        possiblyRunningCount = runningCount
         return expired.map { it.node }
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
@@ -31,6 +31,9 @@
         if (members.size > MAX_NODES) members.remove(members.keys.first())
     }
 
+    /** Whether [node] is known and does not count as ended. */
+    fun mayRun(node: FleetNode): Boolean = members.values.any { it.node.vm == node.vm && mayRun(it) }
+
     /** Removes what [node] replaces: it may have returned at another address, or have the address of another node. */
     fun removeReplaced(node: FleetNode) {
         members.values.removeIf { it.node.vm == node.vm || it.node.address == node.address }
--- a/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/FleetMembersTest.kt
@@ -89,6 +89,18 @@
         expectThat(members.compositionCount).isEqualTo(before + 1)
     }
 
+    @Test
+    fun `the composition does not change while a node expires and returns, since it may be running all the time`() {
+        members.recordContact(other, isLeaving = false)
+        members.removeExpired()
+        val before = members.compositionCount
+        timer.advance(31_000)
+        expectThat(members.removeExpired()).containsExactly(other)
+        members.recordContact(other, isLeaving = false)
+        members.removeExpired()
+        expectThat(members.compositionCount).isEqualTo(before)
+    }
+
     @Test
     fun `a restarted node is a different job holder than before`() {
         members.recordContact(other, isLeaving = false)
