--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
@@ -5,8 +5,8 @@
 
 /**
  * Nodes that expired as members of the fleet without leaving, up to [MAX_NODES] of them. They may have ended, or run
- * behind a partition; a node that was not heard from for [endedAfterMillis] counts as ended. One that was never heard from
- * counts as ended at once: the platform's store also names nodes that ended long ago.
+ * behind a partition; a node that was not heard from for [endedAfterMillis] counts as ended. One that was never heard
+ * from counts as ended at once: the platform's store also names nodes that ended long ago.
  */
 internal class FormerMembers(private val timer: TimerService, private val endedAfterMillis: Long) {
     private class FormerMember(val node: FleetNode, val lastContactMillis: Long?)
