Load the classes of client and server before the tests of HttpObjectStore

Cause: the first call in the JVM loads the classes of the Ktor client and server. It ran within the 1,000 ms that a call may take in this class, always in the same test, which runs first.

The test and its bound are as they were.

--- a/objectapi/src/test/kotlin/ragwortbarrow/objectapi/HttpObjectStoreTest.kt
+++ b/objectapi/src/test/kotlin/ragwortbarrow/objectapi/HttpObjectStoreTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
 import ragwortbarrow.core.store.IdempotentWriter
 import ragwortbarrow.core.store.InMemoryObjectStore
@@ -198,4 +199,19 @@
     private fun test(body: suspend CoroutineScope.() -> Unit): Unit = runBlocking { body() }
 
     private fun spec(value: String) = JsonObject(mapOf("value" to JsonPrimitive(value)))
+
+    private companion object {
+        /** The first call of a process loads the classes of client and server, which takes longer than a call may. */
+        @BeforeAll
+        @JvmStatic
+        fun loadClasses() {
+            val timer = SystemTimerService()
+            val server = PlatformServer(timer).start()
+            val store = HttpObjectStore(server.url, CallBudget(attemptTimeoutMillis = 30_000)) { _, _, _, _ -> }
+            runBlocking { store.create(ObjectKind.FILES, "first", JsonObject(emptyMap())).unwrap() }
+            store.close()
+            server.stop()
+            timer.close()
+        }
+    }
 }
