Let callers wait for the read of results that is under way

The time was noted when a read began, so a caller who asked during the read was answered from the old log. Calls that wait for a connection arrive together, so there is such a caller.

Change: the read is shared by all who ask while it is under way, and no longer ends when the caller leaves who began it.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -37,6 +37,9 @@
     var needsReconciliation = false
     var isReconciling = false
     var rereadAtNanos = 0L
+
+    /** The read of results from the store that is under way for callers. */
+    var reread: Job? = null
     private val change = ChangeSignal()
 
     init {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import ragwortbarrow.core.fleet.FleetMembers
@@ -115,13 +116,21 @@
 
     /**
      * Reads results that the previous holder of [job] may have stored after the takeover. A caller that has read a
-     * result from another node must find it on this one too.
+     * result from another node must find it on this one too, also if others ask at the same time.
      */
     internal suspend fun rereadResults(job: ActiveJob) {
+        val reread = job.reread ?: startReread(job)
+        reread?.join()
+    }
+
+    private fun startReread(job: ActiveJob): Job? {
         val nowNanos = timer.nanoTime()
-        if (!job.isTakenOver || nowNanos - job.rereadAtNanos < REREAD_INTERVAL_NANOS) return
+        if (!job.isTakenOver || nowNanos - job.rereadAtNanos < REREAD_INTERVAL_NANOS) return null
         job.rereadAtNanos = nowNanos
-        reloadResults(job)
+        return scope.launch { reloadResults(job) }.also { reread ->
+            job.reread = reread
+            reread.invokeOnCompletion { job.reread = null }
+        }
     }
 
     /** Stops a cancelled job; results that have already arrived are still stored. False if it does not run here. */
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
@@ -1,10 +1,12 @@
 package ragwortbarrow.entry
 
+import com.github.michaelbull.result.Result
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Runnable
@@ -25,6 +27,10 @@
 import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.store.IdempotentWriter
 import ragwortbarrow.core.store.InMemoryObjectStore
+import ragwortbarrow.core.store.ObjectKind
+import ragwortbarrow.core.store.ObjectStore
+import ragwortbarrow.core.store.StoreError
+import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.time.ManualTimerService
 import ragwortbarrow.core.traffic.CallerLimits
 import ragwortbarrow.core.traffic.Route
@@ -53,6 +59,16 @@
         }
     }
 
+    /** Answers reads once [mayRead] is complete. */
+    private class SlowStore(private val store: ObjectStore) : ObjectStore by store {
+        var mayRead = CompletableDeferred(Unit)
+
+        override suspend fun get(kind: ObjectKind, name: String): Result<StoredObject, StoreError> {
+            mayRead.await()
+            return store.get(kind, name)
+        }
+    }
+
     private class ItemProtocol : EntryProtocol {
         override fun itemRequest(item: BatchItem, host: String, head: BackendRequestHead) =
             HttpRequestMessage("POST", item.path, DefaultHttpHeaders(), ByteArray(0))
@@ -103,7 +119,8 @@
         maxWaitMillis = 60_000,
     )
     val members = FleetMembers(self, timer)
-    val jobStore = InMemoryObjectStore().let { JobStore(it, IdempotentWriter(it, timer, "vm-1/1")) }
+    private val store = SlowStore(InMemoryObjectStore())
+    val jobStore = JobStore(store, IdempotentWriter(store, timer, "vm-1/1"))
     val scope = CoroutineScope(dispatcher)
     val cancelledJobs = CancelledJobs(timer)
     val runner = createRunner()
@@ -139,6 +156,9 @@
         )
     }
 
+    /** Reads from the store wait from now on, until the result is complete. */
+    fun delayReads(): CompletableDeferred<Unit> = CompletableDeferred<Unit>().also { store.mayRead = it }
+
     override fun close() {
         group.shutdownGracefully()
         silentSocket.close()
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -1,15 +1,18 @@
 package ragwortbarrow.entry
 
+import kotlinx.coroutines.launch
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import ragwortbarrow.core.fleet.FleetNode
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.jobs.ItemResult
+import ragwortbarrow.core.jobs.ResultChunk
 import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.placement.Occupancy
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -123,6 +126,29 @@
         expectThat(itemsInFlight()).isEqualTo(3)
     }
 
+    /** Calls to the holder that waited for a connection arrive together. */
+    @Test
+    fun `callers who ask at the same time all get the results that the previous holder stored late`() {
+        runner.startJob(fixture.job(items = 3), ResultLog(3), isTakenOver = true)
+        val chunk = ResultChunk(first = 0, listOf(ItemResult("item-0", isCompleted = true, "output")))
+        fixture.scope.launch { fixture.jobStore.appendResults("job", 0, chunk) }
+        fixture.timer.advance(1_000)
+        fixture.dispatcher.runQueued()
+        val job = checkNotNull(runner.activeJob("job"))
+        val reads = fixture.delayReads()
+        val sizes = ArrayList<Int>()
+        repeat(2) {
+            fixture.scope.launch {
+                runner.rereadResults(job)
+                sizes += job.log.size
+            }
+        }
+        fixture.dispatcher.runQueued()
+        reads.complete(Unit)
+        fixture.dispatcher.runQueued()
+        expectThat(sizes).containsExactly(1, 1)
+    }
+
     private fun pass(millis: Long) = repeat((millis / 100).toInt()) {
         fixture.timer.advance(100)
         fixture.quarantine.recordAnswer(listOf("common", "other"))
