Derive the counts of former members from their list

Cause: found in the read-through: FormerMembers counted what it also lists, removeExpired spelled out possiblyRunning once more, and notLeaving had no caller but possiblyRunning.

Change: one list, from which the counts follow; no change of behaviour. Evidence: FleetMembersTest, FleetStateExchangeTest, ServerLimitFleetTest, ServerLimitsTest, JobRunnerTest, formatter and linter pass.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetMembers.kt
@@ -53,9 +53,6 @@
     /** Other members that are reachable and not leaving. */
     fun reachable(): List<FleetNode> = members.values.filter { isReachable(it) && !it.isLeaving }.map { it.node }
 
-    /** Other members that are not leaving, including unreachable ones, which may be running behind a partition. */
-    fun notLeaving(): List<FleetNode> = members.values.filter { !it.isLeaving }.map { it.node }
-
     /** Nodes that expired as members without leaving. */
     fun former(): List<FleetNode> = formerMembers.nodes
 
@@ -63,13 +60,14 @@
      * Other nodes that may be running and sending requests: members that are not leaving, and nodes that have expired
      * but may be running behind a partition.
      */
-    fun possiblyRunning(): List<FleetNode> = notLeaving() + formerMembers.possiblyRunning
+    fun possiblyRunning(): List<FleetNode> =
+        members.values.filter { !it.isLeaving }.map { it.node } + formerMembers.possiblyRunning
 
     /** Number of members, including this node and unreachable ones. */
     val size: Int get() = members.size + 1
 
     /** [size] and the number of expired members that may be running. */
-    val sizeWithExpired: Int get() = size + formerMembers.possiblyRunningCount
+    val sizeWithExpired: Int get() = size + formerMembers.possiblyRunning.size
 
     /** Number of unreachable members. */
     val unreachableCount: Int get() = members.values.count { !isReachable(it) }
@@ -178,7 +176,7 @@
         val expired = members.values.filter { nowMillis - it.lastContactMillis > expireAfterMillis }
         expired.forEach { remove(it) }
         if (expired.isNotEmpty()) changeCount++
-        val runningCount = members.values.count { !it.isLeaving } + formerMembers.possiblyRunningCount
+        val runningCount = possiblyRunning().size
         if (runningCount < possiblyRunningCount) compositionCount++
         possiblyRunningCount = runningCount
         return expired.map { it.node }
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
@@ -19,9 +19,6 @@
     /** Those that do not count as ended. */
     val possiblyRunning: List<FleetNode> get() = members.values.filter { mayRun(it) }.map { it.node }
 
-    /** Size of [possiblyRunning]. */
-    val possiblyRunningCount: Int get() = members.values.count { mayRun(it) }
-
     private fun mayRun(member: FormerMember) =
         member.lastContactMillis?.let { timer.monotonicMillis() - it <= endedAfterMillis } ?: false
 
