Require the phase of a trial's quarantine where it is offered

Cause: found in the read-through: PartTrials.offer had a default for isRetried that its only caller never uses.

Change: the default is gone; no change of behaviour. PartTrialsTest and PromptQuarantineTest pass.

--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
@@ -35,7 +35,7 @@
      * last crash on the part was at [lastCrashMillis]. The number of failed trials has no limit if [isRetried]. Called
      * periodically.
      */
-    fun offer(item: String?, lastCrashMillis: Long, nowMillis: Long, isRetried: Boolean = false) {
+    fun offer(item: String?, lastCrashMillis: Long, nowMillis: Long, isRetried: Boolean) {
         val isOverdue = announced != null && nowMillis - announcedMillis >= SEND_MILLIS
         if (isOverdue) yieldsUntilMillis = nowMillis + YIELD_MILLIS
         val candidate = item?.takeIf { nowMillis >= yieldsUntilMillis }
