Define the milliseconds of a second once in core

Cause: found in the read-through: two of the new files had a constant of their own that CustomerRateLimiter already had.

Change: it stands beside NANOS_PER_MILLI in core/time; no change of behaviour. CustomerRateLimiterTest, OnlinePlacementTest, LimitedServersTest and ServerLimitsTest pass.

--- a/core/src/main/kotlin/ragwortbarrow/core/allowance/CustomerRateLimiter.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/allowance/CustomerRateLimiter.kt
@@ -2,6 +2,7 @@
 
 import ragwortbarrow.core.ids.CustomerId
 import ragwortbarrow.core.ids.VmId
+import ragwortbarrow.core.time.MILLIS_PER_SECOND
 import ragwortbarrow.core.time.SlidingWindowCounter
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.core.time.monotonicMillis
@@ -103,8 +104,6 @@
     }
 
     private companion object {
-        const val MILLIS_PER_SECOND = 1_000.0
-
         /** Window over which offered requests are counted; short, so that a jump in load shows quickly. */
         const val OFFERED_WINDOW_MILLIS = 500L
 
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -2,6 +2,7 @@
 
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.FailureDomainId
+import ragwortbarrow.core.time.MILLIS_PER_SECOND
 import ragwortbarrow.core.time.TimerService
 import kotlin.math.ceil
 import kotlin.random.Random
@@ -250,8 +251,6 @@
         /** Share of the expected wait over which retries are spread. */
         const val RETRY_SPREAD = 0.5
 
-        const val MILLIS_PER_SECOND = 1_000.0
-
         /** Callers are told to wait for at most their remaining time divided by this. */
         const val RETRY_DIVISOR = 3.0
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -5,6 +5,7 @@
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.SendPermits
+import ragwortbarrow.core.time.MILLIS_PER_SECOND
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
 
@@ -202,8 +203,6 @@
     private fun ageMillis(statement: Statement): Long = (timer.nanoTime() - statement.atNanos) / NANOS_PER_MILLI
 
     private companion object {
-        const val MILLIS_PER_SECOND = 1_000.0
-
         /** Time in which all nodes learn that a node has joined, left or become a holder. */
         const val SETTLE_NANOS = 3_000_000_000L
 
--- a/core/src/main/kotlin/ragwortbarrow/core/time/TimerService.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/time/TimerService.kt
@@ -30,6 +30,7 @@
 
 const val NANOS_PER_MILLI: Long = 1_000_000L
 const val NANOS_PER_SECOND: Long = 1_000_000_000L
+const val MILLIS_PER_SECOND: Double = 1_000.0
 
 /** Monotonic time in milliseconds; see [TimerService.nanoTime]. */
 fun TimerService.monotonicMillis(): Long = nanoTime() / NANOS_PER_MILLI
