Decode what the configuration says of services

Cause: the limits of cold servers and the memory of servers stand in the configuration and were not read. Change: RoutingTable.service names them, with the safe reading for odd or missing fields.

--- a/core/src/main/kotlin/ragwortbarrow/core/traffic/RoutingTable.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/traffic/RoutingTable.kt
@@ -6,9 +6,11 @@
     val routes: List<Route>,
     val customers: List<CustomerAccount>,
     val limits: CallerLimits,
+    services: List<ServiceSettings> = emptyList(),
 ) {
     private val routesByHost = routes.groupBy { it.host }
         .mapValues { (_, ofHost) -> ofHost.sortedByDescending { it.pathPrefix.length } }
+    private val servicesByName = services.associateBy { it.name }
     private val customersByKey = customers.flatMap { customer -> customer.keys.map { it to customer } }.toMap()
 
     /** Whether requests need an API key, unless their route is public. */
@@ -17,5 +19,8 @@
     /** The route of [host] with the longest path prefix that matches [path]. */
     fun route(host: String, path: String): Route? = routesByHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
 
+    /** The settings of the service [name]; those of a service that names none if it is not listed. */
+    fun service(name: String): ServiceSettings = servicesByName[name] ?: ServiceSettings(name)
+
     fun customer(key: String): CustomerAccount? = customersByKey[key]
 }
