Wait with a batch job whose route the node can't know yet

Cause: a job whose route was not found had all its waiting items listed as given up, also while the node had no configuration (after a restart in an outage) or one older than the job. It also got one attempt per item in place of max_attempts, fixed when the node started the job.

Change: a job stores the version of the configuration under which it was accepted. JobRoute (core) tells three cases apart: known, undetermined (the job waits) and removed (given up), the last only in a version at least as new. A job that an earlier release stored is given up only if this process has seen its route. Attempts are counted against the route at each run. urgency() uses the route as last seen.

The same class, a clock: items were given up after max_wait by the clocks of two nodes, or by one that was set. A job accepted by this process is measured by its steady clock; one that was taken over is given up bounds.max_skew_ms later.

Looked at for the same class: - JobFailover: a node that knows no members counts every other holder as failed (FleetMembers.hasFailed and mayRun, "?:"). In its first 1.5 s it takes nothing over, and only the store can name jobs; but if it reads the jobs before the list of members after an outage it may take over running ones. That costs runs, no result (chunks are only created). An unreadable state counts as the default one there; the takeover then fails on reading it (Rejected). Harmless. - BatchJobHandler: 404 only after the store said that the job does not exist, or for another customer. Harmless. - CallerHandler: no configuration is 503. An older configuration may answer 401 or 404 for a key or route added since; all other answers go by the version in force too. Nothing is decided for good. Not changed. - ConfigurationHolder: a version never decreases; an invalid document changes nothing. Harmless. - CustomerRateLimiter: with no members known, a node admits the whole limit of a customer; after a restart of all nodes the sum may exceed it until the first exchanges. Not for good; not changed. - PromptQuarantine trials: a node without members counts as in the majority and may send trials. Not for good; not changed. - confirmRetirement: a read that fails is not repeated until the watch lists again, which an outage causes.

ItemProgressTest passes maxAttempts with each outcome, its checks are unchanged. JobRunnerFixture takes its configuration later if a test asks for it.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/BatchJob.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/BatchJob.kt
@@ -23,6 +23,8 @@
     val items: List<BatchItem>,
     /** The node that accepted the job, and runs it until another node takes it over. */
     val holder: JobHolder,
+    /** The version of the configuration under which the job was accepted; null if an earlier release stored the job. */
+    val configurationVersion: Long? = null,
 )
 
 /** The node that runs a job; [incarnation] identifies the start of its process. */
--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
@@ -18,7 +18,6 @@
 /** A job item that this node runs: its failed attempts and the output received so far. */
 class ItemProgress(
     val item: BatchItem,
-    private val maxAttempts: Int,
     /** Ids of the parts that the item's prompt may share with others. */
     val sharedPromptParts: List<String> = emptyList(),
 ) {
@@ -59,7 +58,8 @@
         lastEventId = null
     }
 
-    fun applyOutcome(outcome: RunOutcome) {
+    /** Applies the [outcome] of a run; the item fails after [maxAttempts] failed runs. */
+    fun applyOutcome(outcome: RunOutcome, maxAttempts: Int) {
         when (outcome) {
             RunOutcome.Completed -> result = ItemResult(item.id, isCompleted = true, output = output.toString())
             RunOutcome.Failed -> {
--- a/core/src/test/kotlin/ragwortbarrow/core/jobs/ItemProgressTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/jobs/ItemProgressTest.kt
@@ -8,16 +8,16 @@
 import strikt.assertions.isTrue
 
 class ItemProgressTest {
-    private val progress = ItemProgress(BatchItem("a", "/p/a"), maxAttempts = 3)
+    private val progress = ItemProgress(BatchItem("a", "/p/a"))
 
     @Test
     fun `the output continues where an interrupted run stopped`() {
         progress.appendEvent(1, "one")
         progress.appendEvent(2, "two")
-        progress.applyOutcome(RunOutcome.Interrupted("stopped"))
+        progress.applyOutcome(RunOutcome.Interrupted("stopped"), maxAttempts = 3)
         expectThat(progress.appendEvent(2, "two")).isTrue()
         progress.appendEvent(3, "three")
-        progress.applyOutcome(RunOutcome.Completed)
+        progress.applyOutcome(RunOutcome.Completed, maxAttempts = 3)
         expectThat(progress.result).isEqualTo(ItemResult("a", isCompleted = true, output = "one\ntwo\nthree"))
     }
 
@@ -29,16 +29,16 @@
 
     @Test
     fun `an item fails after its last attempt, and interruptions do not count as attempts`() {
-        repeat(2) { progress.applyOutcome(RunOutcome.Failed) }
-        repeat(5) { progress.applyOutcome(RunOutcome.Interrupted("server full")) }
+        repeat(2) { progress.applyOutcome(RunOutcome.Failed, maxAttempts = 3) }
+        repeat(5) { progress.applyOutcome(RunOutcome.Interrupted("server full"), maxAttempts = 3) }
         expectThat(progress.result).isNull()
-        progress.applyOutcome(RunOutcome.Failed)
+        progress.applyOutcome(RunOutcome.Failed, maxAttempts = 3)
         expectThat(progress.result).isEqualTo(ItemResult("a", isCompleted = false))
     }
 
     @Test
     fun `an item that can never succeed fails immediately`() {
-        progress.applyOutcome(RunOutcome.Impossible)
+        progress.applyOutcome(RunOutcome.Impossible, maxAttempts = 3)
         expectThat(progress.result).isEqualTo(ItemResult("a", isCompleted = false))
     }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -5,6 +5,7 @@
 import ragwortbarrow.core.jobs.BatchJob
 import ragwortbarrow.core.jobs.ItemProgress
 import ragwortbarrow.core.jobs.ItemResult
+import ragwortbarrow.core.jobs.JobRoute
 import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.time.ChangeSignal
@@ -13,11 +14,13 @@
 internal class ActiveJob(
     val job: BatchJob,
     val log: ResultLog,
-    maxAttempts: Int,
     /** Whether the job was taken over from a node that may still be alive and store results. */
     val isTakenOver: Boolean,
+    /** Monotonic time at which this node started the job. */
+    val startedMillis: Long,
     sharedPromptParts: (BatchItem) -> List<String> = { emptyList() },
 ) {
+    val route = JobRoute(job)
     val waiting = ArrayDeque<ItemProgress>()
     val running = HashMap<ItemProgress, RunningItem>()
 
@@ -43,9 +46,7 @@
     private val change = ChangeSignal()
 
     init {
-        job.items.filterNot {
-            log.contains(it.id)
-        }.mapTo(waiting) { ItemProgress(it, maxAttempts, sharedPromptParts(it)) }
+        job.items.filterNot { log.contains(it.id) }.mapTo(waiting) { ItemProgress(it, sharedPromptParts(it)) }
     }
 
     /** Suspends until results are stored or the job stops. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -97,6 +97,7 @@
         message: HttpRequestMessage,
         head: CallerRequestHead,
         route: Route,
+        configurationVersion: Long,
         customer: CustomerAccount?,
         startNanos: Long,
         reply: HttpReply,
@@ -112,6 +113,7 @@
             submittedWallMillis = timer.wallMillis(),
             items = items,
             holder = JobHolder(self.vm.value, self.incarnation),
+            configurationVersion = configurationVersion,
         )
         jobStore.create(job).fold(
             {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/CallerHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/CallerHandler.kt
@@ -82,7 +82,8 @@
         val neededMillis = if (route.kind == RouteKind.BATCH) JOB_CALL_MILLIS else request.limitMillis
         when {
             remainingMillis() < neededMillis -> rejectDraining(head, reply)
-            route.kind == RouteKind.BATCH -> jobHandler.submit(message, head, route, customer, startNanos, reply)
+            route.kind == RouteKind.BATCH ->
+                jobHandler.submit(message, head, route, table.version, customer, startNanos, reply)
             customer == null || admitOrReject(customer, head, reply) -> forwardOnline(request, reply, table.version)
         }
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -132,6 +132,7 @@
         scope,
         metrics,
         log,
+        maxClockSkewMillis = settings.maxClockSkewMillis,
     )
     private val failover = JobFailover(members, plan, connector, jobStore, runner, timer, scope, log)
     private val jobHandler =
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
@@ -21,6 +21,10 @@
     val rateWindowMillis: Long = 5_000,
     /** Time that the platform allows between SIGTERM and SIGKILL. */
     val stopGraceMillis: Long = 8_000,
+    /** The largest difference between the clocks of two nodes, or between a clock before and after it is set. */
+    val maxClockSkewMillis: Long = DEFAULT_MAX_CLOCK_SKEW_MILLIS,
     /** Size of an object that the platform's store accepts. */
     val maxObjectBytes: Int = JobStore.DEFAULT_MAX_OBJECT_BYTES,
 )
+
+internal const val DEFAULT_MAX_CLOCK_SKEW_MILLIS = 5_000L
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -14,6 +14,7 @@
 import ragwortbarrow.core.jobs.ItemProgress
 import ragwortbarrow.core.jobs.ItemResult
 import ragwortbarrow.core.jobs.JobHolder
+import ragwortbarrow.core.jobs.JobRouteState
 import ragwortbarrow.core.jobs.JobStore
 import ragwortbarrow.core.jobs.ResultChunk
 import ragwortbarrow.core.jobs.ResultLog
@@ -51,6 +52,8 @@
     private val log: DecisionLog,
     /** Memory for the outputs of all items that have no stored result, as JSON text in bytes. */
     private val maxOutputBytes: Long = Runtime.getRuntime().maxMemory() / OUTPUT_SHARE_OF_HEAP,
+    /** The largest difference between the clocks of two nodes, or between a clock before and after it is set. */
+    private val maxClockSkewMillis: Long = DEFAULT_MAX_CLOCK_SKEW_MILLIS,
 ) {
     class Components(
         val configuration: ConfigurationHolder,
@@ -80,8 +83,8 @@
     /** Starts or continues [job], unless it was cancelled meanwhile; [results] are those already stored. */
     fun startJob(job: BatchJob, results: ResultLog, isTakenOver: Boolean = false) {
         if (job.id in activeJobs || isStopping || job.id in components.cancelledJobs) return
-        val route = route(job)
-        activeJobs[job.id] = ActiveJob(job, results, route?.maxAttempts ?: 1, isTakenOver, protocol::sharedPromptParts)
+        activeJobs[job.id] =
+            ActiveJob(job, results, isTakenOver, timer.monotonicMillis(), protocol::sharedPromptParts)
         log.record("job_held", "job" to job.id, "items" to job.items.size, "stored" to results.size)
         startWaitingItems()
     }
@@ -238,10 +241,13 @@
     }
 
     private fun candidates(job: ActiveJob): List<Candidate> {
-        val route = route(job.job)
-        if (route == null) {
-            failItems(job, "the job's route is not in the configuration")
-            return emptyList()
+        val route = when (val state = job.route.state(components.configuration.table)) {
+            is JobRouteState.Known -> state.route
+            JobRouteState.Undetermined -> return emptyList()
+            JobRouteState.Removed -> {
+                failItems(job, "the job's route is not in version ${components.configuration.version}")
+                return emptyList()
+            }
         }
         return job.waiting.filter { isStartable(job, it) }
             .map { Candidate(job, it, route, urgency(job, it), isTrial = it in job.withheld) }
@@ -278,7 +284,7 @@
     }
 
     private fun urgency(job: ActiveJob, item: ItemProgress): Urgency {
-        val route = route(job.job)
+        val route = job.route.lastKnown
         val targetMillis = route?.completionTargetMillis?.takeIf { it > 0 } ?: route?.maxWaitMillis ?: 0
         return Urgency(
             dueInMillis = job.job.submittedWallMillis + targetMillis - timer.wallMillis(),
@@ -287,7 +293,16 @@
         )
     }
 
-    private fun route(job: BatchJob): Route? = components.configuration.table?.route(job.host, job.path)
+    /**
+     * The least time since the submission of [job]. The clocks of the node that accepted it and of this one may differ,
+     * and either may have been set meanwhile.
+     */
+    private fun minAgeMillis(job: ActiveJob): Long {
+        val heldMillis = timer.monotonicMillis() - job.startedMillis
+        if (!job.isTakenOver) return heldMillis
+        val ageMillis = timer.wallMillis() - job.job.submittedWallMillis
+        return maxOf(heldMillis, ageMillis - maxClockSkewMillis)
+    }
 
     private fun startItem(job: ActiveJob, progress: ItemProgress, route: Route, server: BackendServer) {
         val testedParts = components.quarantine.startTrial(progress.sharedPromptParts)
@@ -308,7 +323,7 @@
             var outcome: RunOutcome = RunOutcome.Interrupted("stopped")
             val eventIdBefore = progress.lastEventId
             try {
-                outcome = runItem(job.job, progress, route, server)
+                outcome = runItem(job, progress, route, server)
             } catch (cancelled: CancellationException) {
                 throw cancelled
             } catch (failure: HttpFailure.Disconnected) {
@@ -321,18 +336,19 @@
             } catch (failure: HttpFailure) {
                 outcome = RunOutcome.Interrupted(failure.message.orEmpty())
             } finally {
-                finishItem(job, progress, outcome)
+                finishItem(job, progress, outcome, route.maxAttempts)
             }
         }
     }
 
     private suspend fun runItem(
-        job: BatchJob,
+        activeJob: ActiveJob,
         progress: ItemProgress,
         route: Route,
         server: BackendServer,
     ): RunOutcome {
-        val remainingMillis = job.submittedWallMillis + route.maxWaitMillis - timer.wallMillis()
+        val job = activeJob.job
+        val remainingMillis = route.maxWaitMillis - minAgeMillis(activeJob)
         val head = BackendRequestHead(server.id, remainingMillis.coerceAtLeast(1), job.customer, progress.lastEventId)
         val startedNanos = timer.nanoTime()
         val isFromStart = progress.lastEventId == null
@@ -457,9 +473,9 @@
         job.running.keys.sumOf { it.outputBytes.toLong() } + job.waiting.sumOf { it.outputBytes.toLong() }
     }
 
-    private fun finishItem(job: ActiveJob, progress: ItemProgress, outcome: RunOutcome) {
+    private fun finishItem(job: ActiveJob, progress: ItemProgress, outcome: RunOutcome, maxAttempts: Int) {
         val running = job.running.remove(progress)
-        progress.applyOutcome(outcome)
+        progress.applyOutcome(outcome, maxAttempts)
         if (running != null && outcome is RunOutcome.Interrupted && !outcome.wasSent) {
             components.quarantine.returnTrial(running.testedParts)
         }
@@ -484,11 +500,11 @@
 
     /** Fails the waiting items of jobs that exceed the maximum wait of their route. */
     private fun failOverdueItems() {
-        val nowWallMillis = timer.wallMillis()
         for (job in activeJobs.values) {
             if (job.isStopped || job.waiting.isEmpty()) continue
-            val maxWaitMillis = route(job.job)?.maxWaitMillis ?: continue
-            if (maxWaitMillis > 0 && nowWallMillis - job.job.submittedWallMillis > maxWaitMillis) {
+            val state = job.route.state(components.configuration.table) as? JobRouteState.Known ?: continue
+            val maxWaitMillis = state.route.maxWaitMillis
+            if (maxWaitMillis > 0 && minAgeMillis(job) > maxWaitMillis) {
                 failItems(job, "the job exceeds the maximum wait of $maxWaitMillis ms")
             }
         }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
@@ -45,7 +45,7 @@
 import kotlin.coroutines.CoroutineContext
 
 /** A [JobRunner] in virtual time whose tasks wait in a queue, and whose servers accept connections and never answer. */
-internal class JobRunnerFixture : AutoCloseable {
+internal class JobRunnerFixture(isConfigured: Boolean = true) : AutoCloseable {
     /** Queues tasks in order of their dispatch, as an event loop does. */
     class QueueDispatcher : CoroutineDispatcher() {
         private val tasks = ConcurrentLinkedQueue<Runnable>()
@@ -123,15 +123,25 @@
     val jobStore = JobStore(store, IdempotentWriter(store, timer, "vm-1/1"))
     val scope = CoroutineScope(dispatcher)
     val cancelledJobs = CancelledJobs(timer)
+    private val tables = HashMap<String, RoutingTable>()
+    private val configuration = ConfigurationHolder({ tables.getValue(it) }, DecisionLog.NONE)
     val runner = createRunner()
 
+    init {
+        if (isConfigured) configure(version = 1, listOf(route))
+    }
+
+    fun configure(version: Long, routes: List<Route>) {
+        val limits = CallerLimits(16_384, 1_048_576, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
+        tables["v$version"] = RoutingTable(version, routes, customers = emptyList(), limits)
+        configuration.tryApply("v$version", "test")
+    }
+
     private fun createRunner(): JobRunner {
         val protocol = ItemProtocol()
-        val limits = CallerLimits(16_384, 1_048_576, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
-        val table = RoutingTable(version = 1, listOf(route), customers = emptyList(), limits)
         return JobRunner(
             JobRunner.Components(
-                ConfigurationHolder({ table }, DecisionLog.NONE).apply { tryApply("", "test") },
+                configuration,
                 members,
                 tracker,
                 BatchPlacement(tracker, self.failureDomain),
@@ -172,6 +182,7 @@
         submittedWallMillis = timer.wallMillis(),
         items = (1..items).map { BatchItem("item-$it", "/quote/$it", headers) },
         holder = JobHolder(holder.vm.value, holder.incarnation),
+        configurationVersion = 1,
     )
 
     companion object {
