Stop calls while the store serves none, and watch servers with fewer calls

Cause: in an outage each waiting write and read was sent again several times a second. Each heartbeat of a backend server was a change: nine watches returned for it at once, and each other node fetched the whole list from a peer.

A heartbeat changes neither the revision nor the list.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/RelayPlan.kt
@@ -114,10 +114,26 @@
         return rank < RELAYS || (!isStoreReachableFromRelay && rank < RELAYS * 2)
     }
 
-    private fun computeRankInDomain(): Int {
+    /**
+     * Whether this node watches the backend servers. A watch of them costs calls all the time, since each heartbeat is
+     * a change, so one relay of each failure domain has one, and at least [MIN_SERVER_WATCHERS] of the fleet. Relays
+     * that can't reach the store, according to [isStoreReachableFrom], are passed over.
+     */
+    fun isServerWatcher(isStoreReachableFromRelay: Boolean, isStoreReachableFrom: (VmId) -> Boolean): Boolean {
+        if (!isWatcher(isStoreReachableFromRelay)) return false
+        val inDomain = rankedInDomain()
+        val rank = inDomain.indexOf(members.self)
+        if (rank >= RELAYS) return true
+        val domains = members.reachable().mapTo(HashSet()) { it.failureDomain } + members.self.failureDomain
+        val watchers = (MIN_SERVER_WATCHERS + domains.size - 1) / domains.size
+        return inDomain.take(rank).count { isStoreReachableFrom(it.vm) } < watchers
+    }
+
+    private fun computeRankInDomain(): Int = rankedInDomain().indexOf(members.self)
+
+    private fun rankedInDomain(): List<FleetNode> {
         val domain = members.self.failureDomain
-        val inDomain = members.reachable().filter { it.failureDomain == domain } + members.self
-        return inDomain.sortedWith(RELAY_ORDER).indexOf(members.self)
+        return (members.reachable().filter { it.failureDomain == domain } + members.self).sortedWith(RELAY_ORDER)
     }
 
     /** Whether this node does the work that only one node of the fleet should do: it is the first reachable one. */
@@ -140,6 +156,9 @@
         /** Relays per failure domain: one may fail and another be slow. Small domains have no more nodes than this. */
         const val RELAYS = 3
 
+        /** One may fail and another one's connection go silent. */
+        const val MIN_SERVER_WATCHERS = 3
+
         private const val FAILURE_THRESHOLD = 2
 
         /** One exchange period. */
--- a/core/src/test/kotlin/ragwortbarrow/core/fleet/RelayPlanTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/fleet/RelayPlanTest.kt
@@ -117,6 +117,24 @@
         expectThat(plans.count { it.isWatcher(isStoreReachableFromRelay = false) }).isEqualTo(2 * RelayPlan.RELAYS)
     }
 
+    @Test
+    fun `one relay of a failure domain watches the backend servers, or the next one if it can not reach the store`() {
+        val fleet = fleet(domains = 3, size = 10)
+        val plans = fleet.associateWith { plan(it, fleet) }
+        fun watchers(isStoreReachableFrom: (VmId) -> Boolean) =
+            plans.filterValues { it.isServerWatcher(isStoreReachableFromRelay = true, isStoreReachableFrom) }.keys
+        val watchers = watchers { true }
+        expectThat(watchers.map { it.failureDomain.value }).containsExactly("domain-0", "domain-1", "domain-2")
+        expectThat(watchers { it != watchers.first().vm }).hasSize(4).contains(fleet[1])
+    }
+
+    @Test
+    fun `as many nodes of a fleet in one failure domain watch the backend servers as of one in three`() {
+        val fleet = fleet(domains = 1, size = 10)
+        val watchers = fleet.count { plan(it, fleet).isServerWatcher(isStoreReachableFromRelay = true) { true } }
+        expectThat(watchers).isEqualTo(RelayPlan.MIN_SERVER_WATCHERS)
+    }
+
     @Test
     fun `one node is the coordinator, and the next one if it becomes unreachable`() {
         val fleet = fleet(domains = 2, size = 4)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -37,10 +37,12 @@
 import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.serverlimit.LimitHolders
 import ragwortbarrow.core.serverlimit.ServerLimits
+import ragwortbarrow.core.store.GuardedObjectStore
 import ragwortbarrow.core.store.IdempotentWriter
 import ragwortbarrow.core.store.KindWatcher
 import ragwortbarrow.core.store.ObjectKind
 import ragwortbarrow.core.store.ObjectPage
+import ragwortbarrow.core.store.StoreCircuit
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.store.StoredObject
 import ragwortbarrow.core.store.listAll
@@ -106,7 +108,7 @@
     private val plan = RelayPlan(members, timer)
     private val stateExchange = FleetStateExchange(members, plan, connector, sharedState, timer, scope, log)
 
-    private val store = this.platform.store
+    private val store = GuardedObjectStore(this.platform.store, StoreCircuit(timer, log = log))
     private val writer = IdempotentWriter(store, timer, "${self.vm}/${self.incarnation}")
     private val jobStore = JobStore(store, writer, settings.maxObjectBytes, ::logUnreadable)
     private val protocol = this.platform.protocol
@@ -308,10 +310,7 @@
         store = store,
         timer = timer,
         scope = scope,
-        // While the store is unreachable, only the configuration's watcher retries.
-        isElected = {
-            stateExchange.isWatcher && (kind == ObjectKind.PUBLISHED_CONFIGURATIONS || platform.isStoreReachable)
-        },
+        isElected = { isElectedWatcher(kind) },
         onChanged = { onChanged(it) },
         onListed = { onListed(it) },
         onRemoved = { name, version -> onRemoved(name, version) },
@@ -321,6 +320,13 @@
         retryMillis = WATCH_RETRY_MILLIS,
     )
 
+    private fun isElectedWatcher(kind: ObjectKind): Boolean = when (kind) {
+        // While the store is unreachable, only this watcher retries.
+        ObjectKind.PUBLISHED_CONFIGURATIONS -> stateExchange.isWatcher
+        ObjectKind.BACKEND_SERVERS -> stateExchange.isServerWatcher && platform.isStoreReachable
+        else -> stateExchange.isWatcher && platform.isStoreReachable
+    }
+
     private fun applyConfiguration(stored: StoredObject) = configuration.tryApply(stored.spec.toString(), "platform")
 
     /** Confirms a VM retirement at once, since storage VMs of this system hold no data that has to be moved. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -98,11 +98,14 @@
     var isStoreReachable: () -> Boolean = { true }
 
     /** Whether this node watches the platform's store itself. */
-    val isWatcher: Boolean
-        get() {
-            val relay = plan.ownRelay()?.let { peerStates[it.vm] }
-            return plan.isWatcher(relay?.state?.isStoreReachable ?: true)
-        }
+    val isWatcher: Boolean get() = plan.isWatcher(isStoreReachableFromRelay)
+
+    /** Whether this node watches the backend servers in the platform's store itself. */
+    val isServerWatcher: Boolean
+        get() = plan.isServerWatcher(isStoreReachableFromRelay) { peerStates[it]?.state?.isStoreReachable ?: true }
+
+    private val isStoreReachableFromRelay: Boolean
+        get() = plan.ownRelay()?.let { peerStates[it.vm] }?.state?.isStoreReachable ?: true
 
     fun start(seedAddresses: List<String>) {
         contactSeeds(seedAddresses)
@@ -268,7 +271,7 @@
             unreachableMembers.removeAll { members.isReachable(it) }
             onMembershipChange()
         }
-        snapshotFetcher.fetchIfBehind(state, isWatcher)
+        snapshotFetcher.fetchIfBehind(state, isWatcher, isServerWatcher)
     }
 
     /**
--- a/entry/src/main/kotlin/ragwortbarrow/entry/PeerSnapshotFetcher.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/PeerSnapshotFetcher.kt
@@ -30,7 +30,7 @@
     private val fetching = HashSet<SnapshotKind>()
 
     /** Fetches what is newer according to the [state] of a peer. */
-    fun fetchIfBehind(state: NodeState, isWatcher: Boolean) {
+    fun fetchIfBehind(state: NodeState, isWatcher: Boolean, isServerWatcher: Boolean = isWatcher) {
         fetchIfNewer(
             SnapshotKind.CONFIGURATION,
             state,
@@ -38,7 +38,7 @@
             shared.configuration.version,
             isWatcher,
         )
-        fetchIfNewer(SnapshotKind.SERVERS, state, state.serversRevision, shared.servers.revision, isWatcher)
+        fetchIfNewer(SnapshotKind.SERVERS, state, state.serversRevision, shared.servers.revision, isServerWatcher)
     }
 
     private fun fetchIfNewer(
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -42,7 +42,10 @@
     /** Servers that the last list lacked. */
     private val kept = HashMap<String, Kept>()
 
-    /** The platform's revision of the newest known change; the entries lack no change before it. */
+    /**
+     * The platform's revision of the newest known change of what entries say; the entries lack no change before it.
+     * Heartbeats don't count.
+     */
     var revision: Long = 0
         private set
 
@@ -123,6 +126,11 @@
     fun update(entry: StoredObject) {
         val known = entries[entry.name]?.takeIf { entry.name !in kept }
         if (entry.version <= (known?.version ?: completeRevision)) return
+        if (known != null && decode(known) == decode(entry)) {
+            // A heartbeat. It is no news for peers, which would fetch the list for each one otherwise.
+            entries[entry.name] = entry
+            return
+        }
         kept.remove(entry.name)
         put(entry)
         revision = maxOf(revision, entry.version)
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -193,6 +193,24 @@
         expectThat(tracker.names()).containsExactly("a")
     }
 
+    /** Servers write a few times a second, and each node would fetch the list from its peer each time. */
+    @Test
+    fun `a heartbeat is no change for peers, and a removal after it is`() {
+        val tracker = ServerTracker(timer)
+        val watching = directory(ServerTracker(timer))
+        val following = directory(tracker)
+        watching.replaceAll(list(3, server("a", 2), server("b", 3)))
+        following.tryApply(watching.snapshot)
+        log.clear()
+        watching.update(server("a", 7))
+        expectThat(watching.revision).isEqualTo(3)
+        expectThat(log).isEmpty()
+        watching.remove("a", 5)
+        watching.remove("b", 8)
+        following.tryApply(watching.snapshot)
+        expectThat(tracker.names()).containsExactly("a")
+    }
+
     /** The watch begins at the revision of the first page, and delivers the removal. */
     @Test
     fun `a removal is applied although a later page of the list had a newer entry`() {
