Read a job that was taken over once, not at each question of a caller

Change: a new holder seals the log of results with an empty chunk, after which the previous holder can store no more; a holder that lost a job stores nothing before it has read the job's state. A takeover is announced as an acceptance is.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -34,6 +34,9 @@
     /** Times that the store has rejected a chunk with a single result. */
     var rejectedResults = 0
     var isStopped = false
+
+    /** Whether a chunk of this node is the last one, so that no earlier holder can store another one. */
+    var isSealed = false
     var isStoring = false
 
     /** Whether the stored state of the job has to be read, because messages about its changes may have been missed. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -36,6 +36,7 @@
 import ragwortbarrow.core.store.StoreError
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.time.pause
 import ragwortbarrow.core.traffic.CustomerAccount
 import ragwortbarrow.core.traffic.Route
 import ragwortbarrow.http.HttpReply
@@ -73,6 +74,12 @@
 
         /** The holder was unreachable or replied that it does not run the job. */
         var isHolderUnconfirmed = false
+
+        fun movedTo(newHolder: JobHolder) = RemoteJob(newHolder).also {
+            it.job = job
+            it.results = results
+            it.resultsAtNanos = resultsAtNanos
+        }
     }
 
     private val remoteJobs = object : LinkedHashMap<String, RemoteJob>() {
@@ -80,7 +87,12 @@
     }
     private val acceptedAtNanos = LinkedHashMap<String, Long>()
 
-    /** Jobs that this node accepted within the last second, to be announced to peers. */
+    /** Announces to peers that this node now runs [job]. */
+    fun announce(job: String) {
+        acceptedAtNanos[job] = timer.nanoTime()
+    }
+
+    /** Jobs that this node accepted or took over a moment ago, to be announced to peers. */
     fun recentlyAcceptedJobs(): Map<String, JobHolder> {
         val nowNanos = timer.nanoTime()
         acceptedAtNanos.values.removeIf { nowNanos - it > ANNOUNCE_NANOS }
@@ -90,7 +102,14 @@
 
     /** Records that other nodes run [jobs], so that requests for them do not need the store. */
     fun addRemoteJobs(jobs: Map<String, JobHolder>) {
-        for ((job, holder) in jobs) if (job !in remoteJobs) remoteJobs[job] = RemoteJob(holder)
+        for ((job, holder) in jobs) {
+            val known = remoteJobs[job]
+            when {
+                known == null -> remoteJobs[job] = RemoteJob(holder)
+                known.holder == holder -> known.isHolderUnconfirmed = false
+                known.isHolderUnconfirmed || !members.mayRun(known.holder) -> remoteJobs[job] = known.movedTo(holder)
+            }
+        }
     }
 
     suspend fun submit(
@@ -118,7 +137,7 @@
         jobStore.create(job).fold(
             {
                 runner.startJob(job, ResultLog(items.size))
-                acceptedAtNanos[job.id] = timer.nanoTime()
+                announce(job.id)
                 acknowledge(head, reply, route, items.size, "stored", startNanos)
             },
             { error ->
@@ -261,7 +280,18 @@
             if (fromPeer != null) return Ok(fromPeer)
             remote.isHolderUnconfirmed = true
         }
-        return readStoredPage(job, remote, customer, after)
+        val page = readStoredPage(job, remote, customer, after).getOrElse { return Err(it) }
+        if (page == null || page.results.isNotEmpty() || remote.results?.isComplete == true) return Ok(page)
+        return Ok(awaitHolder(job, customer, after, waitMillis) ?: page)
+    }
+
+    /** Waits as the holder would: a caller that got an empty page at once would ask again at once. */
+    private suspend fun awaitHolder(job: String, customer: String, after: Int, waitMillis: Long): JobPage? {
+        if (waitMillis <= 0) return null
+        timer.pause(waitMillis)
+        localPage(job, customer, after, waitMillis = 0)?.let { return it }
+        val remote = remoteJobs[job]?.takeIf { isCurrent(it) } ?: return null
+        return callHolder(job, remote) { it.readResults(job, customer, after, 0) }
     }
 
     /** Reads results from the store, for a job whose holder does not respond. */
@@ -313,11 +343,9 @@
         if (known != null || !members.mayRun(holder)) {
             holder = jobStore.state(id).getOrElse { return Err(it) }.holder ?: holder
         }
-        val remote = RemoteJob(holder)
+        val remote = known?.movedTo(holder) ?: RemoteJob(holder)
         remote.job = job
-        remote.results = known?.results
         remote.stateAtNanos = timer.nanoTime()
-        remote.resultsAtNanos = known?.resultsAtNanos ?: Long.MIN_VALUE
         remoteJobs[id] = remote
         return Ok(remote)
     }
@@ -391,7 +419,7 @@
         /** Cached jobs of other nodes, with bodies of about 15 KB each. */
         const val MAX_REMOTE_JOBS = 200
 
-        /** How long a new job is announced to peers: several exchanges. */
+        /** How long a new job, or a new holder, is announced to peers: several exchanges. */
         const val ANNOUNCE_NANOS = 1_000_000_000L
 
         /** Below one second: a result that a caller has read from one node must be on all nodes a second later. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -193,6 +193,7 @@
         stateExchange.onJobsTakenOver = runner::reconcileJobs
         stateExchange.recentlyAcceptedJobs = jobHandler::recentlyAcceptedJobs
         stateExchange.onJobsAccepted = jobHandler::addRemoteJobs
+        failover.onTakenOver = jobHandler::announce
         jobHandler.onJobWithoutHolder = { failover.ensureRunning(listOf(it)) }
         stateExchange.isStoreReachable = platform::isStoreReachable
         registerGauges()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobFailover.kt
@@ -40,6 +40,8 @@
     private val membershipDelayMillis: Long = 500,
     private val periodMillis: Long = 15_000,
 ) {
+    /** Called with a job that this node has taken over. */
+    var onTakenOver: (job: String) -> Unit = {}
     private var isReassigning = false
     private var isScheduled = false
     private var majorityLostSinceMillis: Long? = null
@@ -170,6 +172,7 @@
         )
         if (after.holder == self && !after.isFinished && !after.isCancelled) {
             runner.startJob(job, results, isTakenOver = true)
+            onTakenOver(job.id)
         }
         return Ok(Unit)
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -118,8 +118,9 @@
     fun reconcileAllJobs() = reconcileJobs(activeJobs.values.filter { !it.log.isComplete }.map { it.job.id })
 
     /**
-     * Reads results that the previous holder of [job] may have stored after the takeover. A caller that has read a
-     * result from another node must find it on this one too, also if others ask at the same time.
+     * Makes sure that no result which the previous holder of [job] may have stored after the takeover is missing. A
+     * caller that has read a result from another node must find it on this one too, also if others ask at the same
+     * time. Once the previous holder can store no more results, this does nothing.
      */
     internal suspend fun rereadResults(job: ActiveJob) {
         val reread = job.reread ?: startReread(job)
@@ -128,14 +129,43 @@
 
     private fun startReread(job: ActiveJob): Job? {
         val nowNanos = timer.nanoTime()
-        if (!job.isTakenOver || nowNanos - job.rereadAtNanos < REREAD_INTERVAL_NANOS) return null
+        val mayMiss = job.isTakenOver && !job.isSealed
+        if (!mayMiss || nowNanos - job.rereadAtNanos < REREAD_INTERVAL_NANOS) return null
         job.rereadAtNanos = nowNanos
-        return scope.launch { reloadResults(job) }.also { reread ->
+        return scope.launch { if (job.isStoring) reloadResults(job) else seal(job) }.also { reread ->
             job.reread = reread
             reread.invokeOnCompletion { job.reread = null }
         }
     }
 
+    /**
+     * Stores an empty chunk, unless there is a chunk that this node has not read. The previous holder's next write then
+     * fails, and it learns that it has lost the job.
+     */
+    private suspend fun seal(job: ActiveJob) {
+        job.isStoring = true
+        try {
+            repeat(MAX_SEAL_ATTEMPTS) {
+                val number = job.log.nextChunkNumber
+                val empty = ResultChunk(job.log.size, emptyList())
+                val error = components.jobStore.appendResults(job.job.id, number, empty).fold({ null }, { it })
+                if (error == null) {
+                    job.log.add(number, empty)
+                    job.isSealed = true
+                    return
+                }
+                if (error !is StoreError.AlreadyExists) {
+                    log.record("results_not_sealed", "job" to job.job.id, "chunk" to number, "reason" to error)
+                    return
+                }
+                reloadResults(job)
+            }
+        } finally {
+            job.isStoring = false
+            storeResults(job)
+        }
+    }
+
     /** Stops a cancelled job; results that have already arrived are still stored. False if it does not run here. */
     fun cancelJob(id: String): Boolean {
         val job = activeJobs[id] ?: return false
@@ -545,6 +575,7 @@
         components.jobStore.appendResults(id, number, chunk).fold(
             {
                 job.log.add(number, chunk)
+                job.isSealed = true
                 removeStoredResults(job)
                 job.signalChange()
                 log.record("results_stored", "job" to id, "chunk" to number, "results" to chunk.results.size)
@@ -577,7 +608,8 @@
     /** Handles a number that is in use: another node took the job over, or an earlier try of this write took effect. */
     private suspend fun resolveConflict(job: ActiveJob) {
         if (!reloadResults(job)) timer.pause(RETRY_MILLIS)
-        reconcile(job)
+        // A node that stored more results of a job that it has lost would hide them from callers of the new holder.
+        while (activeJobs[job.job.id] === job && !reconcile(job)) timer.pause(RETRY_MILLIS)
     }
 
     private suspend fun reloadResults(job: ActiveJob): Boolean {
@@ -638,6 +670,9 @@
          */
         const val FAULTY_SERVER_PAUSE_MILLIS = 1_000L
 
+        /** A previous holder that is still running stores results of one chunk, or of a few, in the meantime. */
+        const val MAX_SEAL_ATTEMPTS = 3
+
         /** Below one second: a result that a caller has read from one node must be on all nodes a second later. */
         const val REREAD_INTERVAL_NANOS = 400_000_000L
 
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -15,6 +15,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 
@@ -149,6 +150,33 @@
         expectThat(sizes).containsExactly(1, 1)
     }
 
+    /** Callers of a job that was taken over ask its holder all the time. */
+    @Test
+    fun `once no other node can store results of a job, they are not read again`() {
+        runner.startJob(fixture.job(items = 3), ResultLog(3), isTakenOver = true)
+        val job = checkNotNull(runner.activeJob("job"))
+        fixture.scope.launch { runner.rereadResults(job) }
+        fixture.timer.advance(1_000)
+        fixture.dispatcher.runQueued()
+        val reads = fixture.delayReads()
+        var answered = 0
+        repeat(3) {
+            fixture.timer.advance(1_000)
+            fixture.scope.launch {
+                runner.rereadResults(job)
+                answered++
+            }
+            fixture.dispatcher.runQueued()
+        }
+        expectThat(answered).isEqualTo(3)
+        reads.complete(Unit)
+        val late = ResultChunk(first = 0, listOf(ItemResult("item-0", isCompleted = true, "late")))
+        var isStored = true
+        fixture.scope.launch { isStored = fixture.jobStore.appendResults("job", 0, late).isOk }
+        fixture.dispatcher.runQueued()
+        expectThat(isStored).isFalse()
+    }
+
     private fun pass(millis: Long) = repeat((millis / 100).toInt()) {
         fixture.timer.advance(100)
         fixture.quarantine.recordAnswer(listOf("common", "other"))
