Keep all nodes together within what a cold server bears

Change: ColdServers knows from entries, refused connections and ended evacuations which servers are cold; ColdPermits divides their rate among as many nodes as requests per second, with nothing saved up. ServerLimits gives the stricter of both limits to every path that asks for a permit. Services that name no rate for cold servers are served as before. Result: ColdServerLoadTest replays 76 nodes with old knowledge, a restart and a split: 13 at most in any one second, and more than that without the rate.

--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitHolders.kt
@@ -4,6 +4,7 @@
 import ragwortbarrow.core.fleet.FleetNode
 import ragwortbarrow.core.membership.RendezvousHash
 import ragwortbarrow.core.placement.BackendServer
+import kotlin.math.ceil
 
 /**
  * Chooses the nodes that send requests to a backend server with a limit: two for each request per second, those of the
@@ -21,17 +22,35 @@
         }
     private var ownChangeCount = 0
 
+    /** Whether the platform's store listed the members to this node, so that it is alone if it knows no other one. */
+    var areMembersListed = false
+        set(value) {
+            if (value != field) ownChangeCount++
+            field = value
+        }
+
     /** Grows when other nodes may be chosen. */
     val changeCount: Int get() = members.compositionCount + ownChangeCount
 
     /** The place of this node for [server]; null if it leaves. */
-    internal fun rank(server: BackendServer, requestsPerSecond: Double): HolderRank? {
-        if (isLeaving) return null
+    internal fun rank(server: BackendServer, requestsPerSecond: Double): HolderRank? =
+        if (isLeaving) null else rank(server, (requestsPerSecond * NODES_PER_REQUEST).toInt())
+
+    /**
+     * The place of this node for a cold [server], whose limit holds in any one second: each holder sends one request in
+     * a second or more. Null also while this node has heard of no other one, since each of many such nodes would
+     * believe that it holds the whole limit.
+     */
+    internal fun coldRank(server: BackendServer, requestsPerSecond: Double): HolderRank? =
+        if (isLeaving || !knowsMembers) null else rank(server, ceil(requestsPerSecond).toInt())
+
+    private val knowsMembers: Boolean get() = areMembersListed || members.size > 1
+
+    private fun rank(server: BackendServer, maxHolders: Int): HolderRank {
         val nodes = members.possiblyRunning() + members.self
         val (near, far) = nodes.partition { it.failureDomain == server.failureDomain }
         val ranked = rank(server, near) + rank(server, far)
-        val holders = (requestsPerSecond * NODES_PER_REQUEST).toInt().coerceIn(1, nodes.size)
-        return HolderRank(ranked.indexOf(members.self), holders)
+        return HolderRank(ranked.indexOf(members.self), maxHolders.coerceIn(1, nodes.size))
     }
 
     private fun rank(server: BackendServer, nodes: List<FleetNode>) =
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitShare.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/LimitShare.kt
@@ -4,17 +4,21 @@
 
 /**
  * A node's share of the limit of one backend server: one request per [intervalMillis]. What is not used is saved up for
- * [BURST_MILLIS], since online load jumps for some seconds. A share that begins at `startNanos` has nothing
+ * [maxSavedMillis], since online load jumps for some seconds. A share that begins at `startNanos` has nothing
  * saved up.
  */
-internal class LimitShare(intervalMillis: Double, startNanos: Long) {
+internal class LimitShare(
+    intervalMillis: Double,
+    startNanos: Long,
+    private val maxSavedMillis: Double = BURST_MILLIS,
+) {
     var intervalMillis = intervalMillis
         private set
 
     /** When all requests that were sent would have been due at a steady rate. */
     private var usedUntilMillis = millis(startNanos) + intervalMillis + savedMillis
 
-    private val savedMillis: Double get() = (BURST_MILLIS - intervalMillis).coerceAtLeast(0.0)
+    private val savedMillis: Double get() = (maxSavedMillis - intervalMillis).coerceAtLeast(0.0)
 
     /** The time until the next request may be sent; with [isSpare], one that would be lost if it were not sent. */
     fun waitMillis(nowNanos: Long, isSpare: Boolean): Double {
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.core.serverlimit
 
 import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.placement.BackendServer
@@ -8,6 +9,7 @@
 import ragwortbarrow.core.time.MILLIS_PER_SECOND
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import ragwortbarrow.core.time.TimerService
+import ragwortbarrow.core.traffic.ServiceSettings
 
 /**
  * Keeps the requests of all nodes within the limits that backend servers name, without a call to another node per
@@ -17,10 +19,14 @@
  * A node that becomes a holder waits for [SETTLE_NANOS], in which the former holder learns of the change. A holder of
  * a limit near zero still sends a request per [PROBE_INTERVAL_MILLIS], whose response shows whether the limit has
  * ended. If no node has had a response for longer, because the holders have no requests or cannot reach the server,
- * the others send one in turn. Confined to one thread.
+ * the others send one in turn. Cold servers are limited too, see [ColdPermits]. Confined to one thread.
  */
-class ServerLimits(private val holders: LimitHolders, private val timer: TimerService, private val log: DecisionLog) :
-    SendPermits {
+class ServerLimits(
+    private val holders: LimitHolders,
+    private val timer: TimerService,
+    private val log: DecisionLog,
+    settings: (service: String) -> ServiceSettings = { ServiceSettings(it) },
+) : SendPermits {
     private class Statement(
         val requestsPerSecond: Double?,
         val incarnation: Long?,
@@ -45,9 +51,14 @@
     }
 
     private val startedNanos = timer.nanoTime()
+    private val coldServers = ColdServers(timer, settings, log)
+    private val coldPermits = ColdPermits(coldServers, holders, timer, SETTLE_NANOS)
     private val statements = HashMap<BackendServerId, Statement>()
     private val unreadable = HashMap<BackendServerId, Long?>()
 
+    /** Number of servers that are treated as cold. */
+    val coldSize: Int get() = coldServers.size
+
     /** Number of servers with a limit. */
     val size: Int get() = statements.values.count { it.requestsPerSecond != null }
 
@@ -120,8 +131,16 @@
         else -> atNanos > known.atNanos
     }
 
+    /** Records that [server] refused a connection, so that it may be cold when it takes the next one. */
+    fun recordRefusedConnection(server: BackendServer) = coldServers.recordRefusedConnection(server)
+
+    /** Records that the evacuation of [domain] ended at [revision] of the platform's store. */
+    fun recordEvacuationEnd(domain: FailureDomainId, revision: Long) = coldServers.recordEvacuationEnd(domain, revision)
+
     /** Forgets what processes said that have ended: those of servers that are not listed or have started again. */
     fun retain(listed: Collection<BackendServer>) {
+        coldServers.replace(listed)
+        coldPermits.retain(listed)
         val servers = listed.associateBy { it.id }
         statements.entries.removeIf { (id, statement) ->
             val server = servers[id]
@@ -143,6 +162,11 @@
         incarnation != null && newest != null && incarnation < newest
 
     override fun waitMillis(server: BackendServer, isSpare: Boolean): Double? {
+        val coldWaitMillis = coldPermits.waitMillis(server, isSpare)
+        return limitWaitMillis(server, isSpare)?.let { maxOf(it, coldWaitMillis) }
+    }
+
+    private fun limitWaitMillis(server: BackendServer, isSpare: Boolean): Double? {
         if (statements.isEmpty()) return 0.0
         val statement = limiting(server) ?: return 0.0
         val nowNanos = timer.nanoTime()
@@ -157,12 +181,16 @@
         return (pauseMillis - (nowNanos - heardNanos) / NANOS_PER_MILLI).toDouble().coerceAtLeast(0.0)
     }
 
-    override fun permitsPerSecond(server: BackendServer): Double {
+    override fun permitsPerSecond(server: BackendServer): Double =
+        minOf(limitPermitsPerSecond(server), coldPermits.permitsPerSecond(server))
+
+    private fun limitPermitsPerSecond(server: BackendServer): Double {
         val statement = limiting(server) ?: return Double.POSITIVE_INFINITY
         return share(server, statement)?.let { MILLIS_PER_SECOND / it.intervalMillis } ?: 0.0
     }
 
     override fun recordSend(server: BackendServer) {
+        coldPermits.recordSend(server)
         val statement = limiting(server) ?: return
         val share = share(server, statement)
         if (share != null) share.recordSend(timer.nanoTime()) else statement.probedNanos = timer.nanoTime()
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -78,8 +78,7 @@
             tracker.recordUnanswered(server.id)
             throw abandoned
         } catch (failure: HttpFailure) {
-            tracker.recordFailure(server.id)
-            pool.drop(server.address)
+            recordFailure(server, failure)
             prompt.recordFailure(failure)
             throw failure
         } finally {
@@ -90,6 +89,15 @@
         }
     }
 
+    private fun recordFailure(server: BackendServer, failure: HttpFailure) {
+        tracker.recordFailure(server.id)
+        pool.drop(server.address)
+        when (failure) {
+            is HttpFailure.ConnectFailed -> limits.recordRefusedConnection(server)
+            is HttpFailure.Broken -> Unit
+        }
+    }
+
     private suspend fun awaitHead(answer: HttpAnswer, timeouts: ResponseHeadTimeouts): HttpResponse {
         var remainingMillis = timeouts.timeoutMillis
         if (timeouts.abandonAfterMillis < remainingMillis) {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ConfigurationHolder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ConfigurationHolder.kt
@@ -4,6 +4,7 @@
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.traffic.RoutingTable
+import ragwortbarrow.core.traffic.ServiceSettings
 import java.util.concurrent.atomic.AtomicReference
 
 /** The active configuration. Its version never decreases, whichever source supplies the next one. */
@@ -12,6 +13,9 @@
 
     val table: RoutingTable? get() = current.get()?.first
 
+    /** The settings of the service [name]; those of a service that names none while there is no configuration. */
+    fun service(name: String): ServiceSettings = table?.service(name) ?: ServiceSettings(name)
+
     val version: Long get() = table?.version ?: 0
 
     /** The active configuration as sent to peers with an older version. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -85,11 +85,11 @@
 
     private val members = FleetMembers(self, timer)
     private val limitHolders = LimitHolders(members)
-    private val limits = ServerLimits(limitHolders, timer, log)
+    private val configuration = ConfigurationHolder(this.platform::parseConfiguration, log)
+    private val limits = ServerLimits(limitHolders, timer, log, settings = configuration::service)
     private val tracker = ServerTracker(timer, permits = limits)
     private val latencies = LatencyEstimates()
     private val rateLimiter = CustomerRateLimiter(timer, settings.rateWindowMillis)
-    private val configuration = ConfigurationHolder(this.platform::parseConfiguration, log)
     private val servers = ServerDirectory(
         this.platform::parseBackendServer,
         tracker,
@@ -361,6 +361,7 @@
             val node = decodeEntryNode(stored)
             if (node != null) stateExchange.members.addMember(node) else logUnreadable(stored, "not an entry node")
         }
+        limitHolders.areMembersListed = true
         return true
     }
 
@@ -399,6 +400,9 @@
         metrics.registerGauge("limited.servers", "Backend servers that limit the requests of all nodes together") {
             limits.size
         }
+        metrics.registerGauge("cold.servers", "Backend servers that take few requests because they may be cold") {
+            limits.coldSize
+        }
         metrics.registerGauge("configuration.version", "Version in force, 0 if none") { configuration.version }
     }
 
