Complete a body without a length only at the server's end of stream

Cause: a channel that closes after a reset or a failed write ended such a body like the server's own end, so a part of an early answer to a long upload was complete. Statuses outside 100..599 were passed over as interim (000, 0, 099) or handed on. Change: input shutdown is seen as an event of its own (half closure); the body is complete only after it and after the request was written. 204 and 304 have no body to end. Other statuses fail the answer with HttpFailure.Broken.

--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -39,6 +41,9 @@
     private var isRequestWritten = false
     private var bytesBeforeHead = 0
     private var endsWithConnection = false
+
+    /** Whether the server ended its side of the connection, which a reset or a failed write does not show. */
+    private var hasServerEnded = false
     private var secondHeadSearch: SecondHeadSearch? = null
 
     /** Monotonic time at which the connection became idle. */
@@ -130,6 +135,11 @@
             }
             context.fireChannelRead(message)
         }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event is ChannelInputShutdownEvent) hasServerEnded = true
+            context.fireUserEventTriggered(event)
+        }
     }
 
     internal inner class Handler : SimpleChannelInboundHandler<HttpObject>() {
@@ -151,7 +161,12 @@
                 fail("the head of the response contains a second status line")
                 return
             }
-            val isInterim = response.status().code() < 200
+            val status = response.status().code()
+            if (status !in VALID_STATUSES) {
+                fail("the response has the status $status")
+                return
+            }
+            val isInterim = status < HttpResponseStatus.OK.code()
             isDiscarding = isInterim || !current.isExpected(response)
             if (isDiscarding) {
                 if (!isInterim) reportStrayBytes(StrayBytesArrival.BEFORE_RESPONSE, response)
@@ -160,8 +175,9 @@
             keepAliveSeconds = response.headers().get("Keep-Alive")?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull() ?: keepAliveSeconds
             val isChunked = HttpUtil.isTransferEncodingChunked(response)
-            endsWithConnection = !HttpUtil.isContentLengthSet(response) && !isChunked
-            closeAfterResponse = !HttpUtil.isKeepAlive(response) || endsWithConnection
+            val hasNoLength = !HttpUtil.isContentLengthSet(response) && !isChunked
+            endsWithConnection = hasNoLength && status !in STATUSES_WITHOUT_BODY
+            closeAfterResponse = !HttpUtil.isKeepAlive(response) || hasNoLength
             // A head is no valid chunk.
             secondHeadSearch = if (isChunked) null else SecondHeadSearch(response.headers())
             current.onHead(response)
@@ -183,6 +199,11 @@
 
         /** A body may quote a head. One that was cut off took its end from another response, whose rest follows. */
         private fun onEnd(current: HttpAnswer) {
+            // The decoder ends such a body with the connection, however that ended.
+            if (endsWithConnection && !(hasServerEnded && isRequestWritten)) {
+                fail(HttpFailure.Disconnected("the connection failed before the end of the response"))
+                return
+            }
             if (hasSecondHead && decoder.hasUndecodedBytes) {
                 failForSecondHead()
                 return
@@ -199,6 +220,11 @@
             fail("the body of the response contains the head of another response")
         }
 
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            // The decoder has seen the event before, and ended a body that ends with its connection.
+            if (event is ChannelInputShutdownEvent) fail(HttpFailure.Disconnected("the connection was closed"))
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) =
             fail(HttpFailure.Disconnected("the connection was closed"))
 
@@ -214,6 +240,10 @@
     }
 
     private companion object {
+        val VALID_STATUSES = 100..599
+        val STATUSES_WITHOUT_BODY =
+            setOf(HttpResponseStatus.NO_CONTENT.code(), HttpResponseStatus.NOT_MODIFIED.code())
+
         val STATUS_LINE = Regex("""HTTP/\d\.\d \d{3}""")
 
         /** Whether the head was cut off and continues with the head of another response. */
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -81,6 +81,8 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
             .option(ChannelOption.TCP_NODELAY, true)
+            // Without it a channel closes in the same way after the server's end, a reset and a failed write.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
