Bound what a process holds for all its callers together

Cause: each request was bounded, their sum was not; unfinished heads stayed for the idle timeout, and bodies doubled and copied their arrays. Change: CallerMemory accounts for heads by lines, bodies by blocks, queued and handled requests, unsent responses and parsed jobs, and decides which callers give way. Connections of callers are bounded by limits.max_fds. Heads have header_timeout_ms from their first byte.

--- /dev/null
+++ b/core/src/test/kotlin/ragwortbarrow/core/callers/CallerMemoryTest.kt
@@ -0,0 +1,110 @@
+package ragwortbarrow.core.callers
+
+import org.junit.jupiter.api.Test
+import ragwortbarrow.core.time.ManualTimerService
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class CallerMemoryTest {
+    private val timer = ManualTimerService()
+    private val memory = CallerMemory(CallerMemoryLimits(limitBytes = MEGABYTE, maxConnections = 8), timer)
+    private val gaveWay = ArrayList<String>()
+
+    private fun open(name: String): CallerMemory.Holder {
+        lateinit var holder: CallerMemory.Holder
+        holder = checkNotNull(
+            memory.open {
+                gaveWay += "$name $it"
+                holder.setReclaimable(0)
+                holder.addUnsent(-holder.unsentBytes)
+            },
+        )
+        return holder
+    }
+
+    @Test
+    fun `the caller that holds the most gives way`() {
+        open("large").setReclaimable(500_000)
+        open("larger").setReclaimable(600_000)
+        expectThat(gaveWay).containsExactly("larger MEMORY")
+    }
+
+    @Test
+    fun `a stalled caller gives way before one that holds more and makes progress`() {
+        open("stalled").setReclaimable(300_000)
+        timer.advance(CallerMemory.STALLED_MILLIS)
+        open("large").setReclaimable(500_000)
+        expectThat(gaveWay).containsExactly("stalled MEMORY")
+    }
+
+    @Test
+    fun `a request that is handled keeps its memory and a large one gives way to it`() {
+        open("handled").setPinned(700_000)
+        open("large").setReclaimable(200_000)
+        expectThat(gaveWay).containsExactly("large MEMORY")
+    }
+
+    @Test
+    fun `small requests find room beside large ones`() {
+        open("handled").setPinned(800_000)
+        open("small").setReclaimable(20_000)
+        expectThat(gaveWay).isEmpty()
+    }
+
+    @Test
+    fun `a response gives way only when its caller stalled`() {
+        open("slow").addUnsent(700_000)
+        open("large").setReclaimable(200_000)
+        expectThat(gaveWay).containsExactly("large MEMORY")
+        timer.advance(CallerMemory.STALLED_MILLIS)
+        open("next").setReclaimable(200_000)
+        expectThat(gaveWay).containsExactly("large MEMORY", "slow MEMORY")
+    }
+
+    @Test
+    fun `more is held for a handled request only if it fits`() {
+        val handled = open("handled")
+        handled.setPinned(100_000)
+        open("large").setReclaimable(500_000)
+        expectThat(handled.tryPin(400_000)).isTrue()
+        expectThat(gaveWay).containsExactly("large MEMORY")
+        expectThat(handled.tryPin(400_000)).isFalse()
+    }
+
+    @Test
+    fun `the connection that was idle longest gives way to a new one`() {
+        open("handled").setPinned(1_000)
+        timer.advance(1)
+        open("idle")
+        timer.advance(1)
+        repeat(7) { open("new $it") }
+        expectThat(gaveWay).containsExactly("idle CONNECTIONS")
+    }
+
+    @Test
+    fun `a connection is refused if all others have a request`() {
+        repeat(8) { open("handled $it").setPinned(1_000) }
+        expectThat(memory.open {}).isNull()
+    }
+
+    @Test
+    fun `a closed connection holds nothing`() {
+        val holder = open("caller")
+        holder.setReclaimable(1_000)
+        holder.setPinned(1_000)
+        holder.close()
+        holder.setPinned(0)
+        expectThat(memory.totalBytes).isEqualTo(0)
+        expectThat(memory.open {}).isNotNull()
+    }
+
+    private companion object {
+        const val MEGABYTE = 1_000_000L
+    }
+}
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -101,6 +101,9 @@
         startNanos: Long,
         reply: HttpReply,
     ) {
+        if (!reply.tryHold(parsedJobBytes(message.body))) {
+            return reject(head, reply, ResultCode.QUEUE_FULL, "no memory for the items of the job")
+        }
         val items = protocol.parseBatchItems(message.body)
             ?: return reject(head, reply, ResultCode.MALFORMED_BODY, "the body is not a list of items")
         val self = members.self
@@ -378,7 +381,7 @@
             "code" to code.number,
             "reason" to message,
         )
-        val retryAfterMillis = if (code == ResultCode.PLATFORM_UNAVAILABLE) RETRY_AFTER_MILLIS else null
+        val retryAfterMillis = if (code in RETRIED_CODES) RETRY_AFTER_MILLIS else null
         reply.sendError(ServingError.Unavailable(code, message, retryAfterMillis))
     }
 
@@ -399,9 +402,22 @@
         const val MAX_WAIT_MILLIS = 1_000L
 
         const val RETRY_AFTER_MILLIS = 1_000L
+        val RETRIED_CODES = setOf(ResultCode.PLATFORM_UNAVAILABLE, ResultCode.QUEUE_FULL)
     }
 }
 
+/** Estimates the memory that a job takes beside its [body] while it is parsed and stored. */
+private fun parsedJobBytes(body: ByteArray): Long =
+    body.size * JOB_COPIES + body.count { it == COMMA || it == COLON } * JSON_ELEMENT_BYTES
+
+/** The text of a job as it is parsed, and as it is written to the store. */
+private const val JOB_COPIES = 2L
+
+/** An element of a JSON tree with its entry in the list or map that holds it. */
+private const val JSON_ELEMENT_BYTES = 96L
+private const val COMMA = ','.code.toByte()
+private const val COLON = ':'.code.toByte()
+
 /** The results that fit into one page of the callers' API, which has up to 1 MB. */
 private fun List<ItemResult>.takePage(): List<ItemResult> = takeEncoded(MAX_PAGE_BYTES)
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import ragwortbarrow.core.error.ResultCode
+import ragwortbarrow.http.CallerRefusal
 import ragwortbarrow.http.ConnectionCloseReason
 import ragwortbarrow.http.StrayBytesArrival
 import java.time.Duration
@@ -19,6 +20,7 @@
     private val firstEvents = HashMap<String, Timer>()
     private val refusals = HashMap<ResultCode, Counter>()
     private val unanswered = HashMap<ConnectionCloseReason, Counter>()
+    private val refusedCallers = HashMap<CallerRefusal, Counter>()
     private val strayBytes = HashMap<StrayBytesArrival, Counter>()
     private val platformCalls = HashMap<Pair<String, String>, Counter>()
     private val callsSinceSummary = TreeMap<String, Int>()
@@ -46,6 +48,12 @@
             .tag("closed_by", reason.name).register(registry)
     }.increment()
 
+    /** Counts a caller that gave way to others. */
+    fun countRefusedCaller(reason: CallerRefusal) = refusedCallers.getOrPut(reason) {
+        Counter.builder("ragwortbarrow.entry.callers.refused").description("Callers that gave way to others")
+            .tag("reason", reason.name).register(registry)
+    }.increment()
+
     /** Counts bytes of a backend server that belong to no request. */
     fun countStrayBytes(arrival: StrayBytesArrival) = strayBytes.getOrPut(arrival) {
         Counter.builder("ragwortbarrow.entry.stray.bytes").description("Arrivals of bytes that belong to no request")
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -15,6 +15,8 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
 import ragwortbarrow.core.allowance.CustomerRateLimiter
+import ragwortbarrow.core.callers.CallerMemory
+import ragwortbarrow.core.callers.CallerMemoryLimits
 import ragwortbarrow.core.fleet.FleetMembers
 import ragwortbarrow.core.fleet.FleetNode
 import ragwortbarrow.core.fleet.FleetPeer
@@ -147,8 +149,18 @@
     private val callerHandler =
         CallerHandler(configuration, rateLimiter, members, forwarder, jobHandler, protocol, timer, metrics, log)
 
-    private val callerServer =
-        HttpServer(loop, scope, ::callerLimits, callerHandler::recordUnanswered, callerHandler::handle)
+    private val callerMemory =
+        CallerMemory(CallerMemoryLimits.of(Runtime.getRuntime().maxMemory(), settings.maxDescriptors), timer)
+    private val callerRefusals = CallerRefusalLog(callerMemory, timer, metrics, log)
+    private val callerServer = HttpServer(
+        loop,
+        scope,
+        ::callerLimits,
+        callerHandler::recordUnanswered,
+        callerMemory,
+        callerRefusals::record,
+        callerHandler::handle,
+    )
     private val healthServer = HttpServer(loop, scope) { request, reply -> answerHealthCheck(request, reply) }
     private val peerServer = socketAddress(settings.peerAddress).let {
         GrpcPeerServer(it.hostString, it.port, FleetEndpoint(LocalFleetPeer(), dispatcher), group = group)
@@ -387,6 +399,8 @@
         metrics.registerGauge("requests.in.flight", "Requests of callers that are being served") {
             callerHandler.inFlight
         }
+        metrics.registerGauge("caller.bytes", "Memory that is held for callers") { callerMemory.totalBytes }
+        metrics.registerGauge("caller.connections", "Open connections of callers") { callerMemory.connections }
         metrics.registerGauge("items.running", "Batch items that run at backend servers") { runner.runningItems }
         metrics.registerGauge("items.waiting", "Batch items that wait for a spare slot") { runner.waitingItems }
         metrics.registerGauge("members", "Entry nodes that may be alive") { members.size }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpReply.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpReply.kt
@@ -21,6 +21,12 @@
 
     fun end()
 
+    /**
+     * Accounts for [bytes] of memory that the request takes beside its body until it ends. Returns false if there is no
+     * room for them; the request has to be refused then.
+     */
+    fun tryHold(bytes: Long): Boolean
+
     /** Closes the connection, so that the caller cannot mistake a partial response for a complete one. */
     fun abort()
 }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServer.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -9,8 +10,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
-import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
+import ragwortbarrow.core.callers.CallerMemory
 import java.net.InetSocketAddress
 
 /** Handles one request and responds through [HttpReply]; cancelled when the caller closes the connection. */
@@ -18,13 +19,16 @@
 
 /**
  * An HTTP/1.1 server on one address. All connections run on [loop], and [handler] runs in [scope], which must be
- * confined to the same loop. [onUnanswered] is called for each request whose connection ends before its response.
+ * confined to the same loop. [onUnanswered] is called for each request whose connection ends before its response. With
+ * [memory], callers for whom it has no room are refused, and [onRefused] is called.
  */
 class HttpServer(
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val limits: () -> HttpServerLimits = { HttpServerLimits() },
     private val onUnanswered: (UnansweredRequest) -> Unit = {},
+    private val memory: CallerMemory? = null,
+    private val onRefused: (CallerRefusal) -> Unit = {},
     private val handler: HttpHandler,
 ) {
     private val connections = HashSet<HttpServerConnection>()
@@ -44,13 +48,17 @@
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                AdaptiveRecvByteBufAllocator(SMALLEST_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES),
+            )
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     val connection =
-                        HttpServerConnection(channel, scope, limits, { isClosing }, onUnanswered, handler)
+                        HttpServerConnection(channel, scope, limits, { isClosing }, onUnanswered, onRefused, handler)
                     connections += connection
                     channel.closeFuture().addListener { connections -= connection }
-                    channel.pipeline().addLast(StrictRequestDecoder(limits()), HttpResponseEncoder(), connection)
+                    connection.addTo(channel.pipeline(), memory)
                 }
             })
             .bind(socketAddress(address)).syncUninterruptibly().channel()
@@ -79,11 +87,16 @@
             .forEach { it.close(ConnectionCloseReason.SERVER_STOPPED) }
     }
 
-    private companion object {
+    internal companion object {
+        /** Largest buffer that a connection reads into, of which an undecoded rest keeps the whole. */
+        const val MAX_READ_BYTES = 16 * 1024
+        private const val FIRST_READ_BYTES = 2 * 1024
+        private const val SMALLEST_READ_BYTES = 64
+
         /** Callers send their request as soon as a connection is established. */
-        const val IDLE_BEFORE_CLOSE_MILLIS = 500L
+        private const val IDLE_BEFORE_CLOSE_MILLIS = 500L
 
-        const val BACKLOG = 512
+        private const val BACKLOG = 512
     }
 }
 
@@ -96,12 +109,15 @@
 )
 
 /** Rejects requests with both Content-Length and Transfer-Encoding, which allow request smuggling. */
-private class StrictRequestDecoder(limits: HttpServerLimits) :
+internal class StrictRequestDecoder(limits: HttpServerLimits) :
     HttpRequestDecoder(
         HttpDecoderConfig()
             .setMaxHeaderSize(limits.maxHeaderBytes)
             .setMaxInitialLineLength(limits.maxHeaderBytes),
     ) {
+    /** Bytes that were received and not decoded yet. */
+    val undecodedBytes: Int get() = actualReadableBytes()
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("the request has both Content-Length and Transfer-Encoding")
 }
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -1,12 +1,13 @@
 package ragwortbarrow.http
 
-import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -29,9 +31,10 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
+import ragwortbarrow.core.callers.CallerMemory
+import ragwortbarrow.core.callers.GivingWay
 import ragwortbarrow.core.time.ChangeSignal
 import ragwortbarrow.core.time.NANOS_PER_MILLI
-import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 
 /** A server-side connection: reads complete requests and handles them one at a time, in order. */
@@ -41,10 +44,24 @@
     private val limits: () -> HttpServerLimits,
     private val isClosing: () -> Boolean,
     private val onUnanswered: (UnansweredRequest) -> Unit,
+    private val onRefused: (CallerRefusal) -> Unit,
     private val handler: HttpHandler,
 ) : ChannelInboundHandlerAdapter() {
+    /** Null after a refusal, since it may hold many lines of a head. */
+    private var decoder: StrictRequestDecoder? = null
     private var requestHead: HttpRequest? = null
-    private var body = ByteArrayOutputStream()
+    private var body = BodyBuffer()
+
+    /** What is held for this connection; null if there is no account. */
+    private var account: CallerMemory.Holder? = null
+
+    /** Cost of what the decoder holds of a head, of the head of the body that arrives, and of the queued requests. */
+    private var undecodedBytes = 0L
+    private var headBytes = 0L
+    private var queuedBytes = 0L
+
+    /** What was left to decode after the last part of a request; null if none has been decoded since the last read. */
+    private var bytesAfterPart: Int? = null
     private var handlerJob: Job? = null
     private var currentReply: Reply? = null
     private var closeReason: ConnectionCloseReason? = null
@@ -71,11 +88,27 @@
         channel.close()
     }
 
+    /** Adds the handlers of this connection, which is held in [memory] if there is one. */
+    fun addTo(pipeline: ChannelPipeline, memory: CallerMemory?) {
+        val added = StrictRequestDecoder(limits()).also { decoder = it }
+        pipeline.addLast(UndecodedBytesMeter(), added, HttpResponseEncoder(), this)
+        if (memory == null) return
+        val opened = memory.open(::giveWay)
+        account = opened
+        if (opened != null) {
+            channel.closeFuture().addListener { opened.close() }
+        } else {
+            onRefused(CallerRefusal.CONNECTIONS)
+            close(ConnectionCloseReason.REFUSED)
+        }
+    }
+
     override fun channelActive(context: ChannelHandlerContext) = scheduleIdleClose()
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            read(message as HttpObject)
+            // Bytes that the decoder held when it was removed follow as they are.
+            if (message is HttpObject) read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -89,6 +122,7 @@
         timeout?.cancel(false)
         reportUnanswered(closeReason ?: ConnectionCloseReason.CALLER)
         queuedRequests.clear()
+        body = BodyBuffer()
         handlerJob?.cancel(CancellationException("the caller closed the connection"))
     }
 
@@ -107,13 +141,15 @@
 
     private fun read(message: HttpObject) {
         if (refusal != null) return
+        bytesAfterPart = decoder?.undecodedBytes
         if (message.decoderResult().isFailure) {
             refuse(HttpResponseStatus.BAD_REQUEST)
             return
         }
         if (message is HttpRequest) {
             requestHead = message
-            body = ByteArrayOutputStream()
+            headBytes = RequestCost.ofHead(message)
+            body = BodyBuffer()
             schedule(limits().headerTimeoutMillis) { close(ConnectionCloseReason.REQUEST_TIMEOUT) }
             if (HttpUtil.is100ContinueExpected(message)) {
                 channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -121,23 +157,60 @@
         }
         val head = requestHead
         if (message is HttpContent && head != null) {
-            if (body.size() + message.content().readableBytes() > limits().maxBodyBytes) {
+            if (body.sizeBytes + message.content().readableBytes() > limits().maxBodyBytes) {
                 refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
                 return
             }
-            body.writeBytes(ByteBufUtil.getBytes(message.content()))
-            if (message is LastHttpContent) enqueue(head)
+            body.add(message.content())
+            updateAccount()
+            // The account may have refused this request.
+            if (message is LastHttpContent && refusal == null && channel.isActive) enqueue(head)
+        }
+    }
+
+    /** Holds what has arrived of the requests that have not begun. Any connection may give way, also this one. */
+    private fun updateAccount() {
+        val bufferBytes = if ((decoder?.undecodedBytes ?: 0) > 0) HttpServer.MAX_READ_BYTES else 0
+        account?.setReclaimable(undecodedBytes + bufferBytes + headBytes + body.allocatedBytes + queuedBytes)
+    }
+
+    /** Releases what is held for requests that have not begun; the first of them is refused and has not run. */
+    private fun giveWay(reason: GivingWay) {
+        when (reason) {
+            GivingWay.CONNECTIONS -> {
+                onRefused(CallerRefusal.CONNECTIONS)
+                close(ConnectionCloseReason.REFUSED)
+            }
+            GivingWay.MEMORY -> {
+                onRefused(CallerRefusal.MEMORY)
+                val holder = account
+                if (holder == null || holder.reclaimableBytes == 0L) {
+                    // The caller does not take its response.
+                    holder?.close()
+                    close(ConnectionCloseReason.REFUSED)
+                } else {
+                    queuedRequests.drop(1).forEach { reportUnbegun(it) }
+                    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                }
+            }
         }
     }
 
+    private fun reportUnbegun(request: QueuedRequest) =
+        onUnanswered(UnansweredRequest(request.message, ConnectionCloseReason.REFUSED, isStarted = false))
+
     private fun enqueue(head: HttpRequest) {
         requestHead = null
         timeout?.cancel(false)
         val message = HttpRequestMessage(head.method().name(), head.uri(), head.headers(), body.toByteArray())
-        queuedRequests += QueuedRequest(message, HttpUtil.isKeepAlive(head))
-        body = ByteArrayOutputStream()
+        val request = QueuedRequest(message, HttpUtil.isKeepAlive(head), headBytes + body.sizeBytes)
+        queuedRequests += request
+        queuedBytes += request.heldBytes
+        body = BodyBuffer()
+        headBytes = 0
         runNext()
         limitReading()
+        updateAccount()
     }
 
     /** Reads no further requests while [MAX_QUEUED] wait for those before them. */
@@ -161,6 +234,9 @@
         val request = next.message
         val reply = Reply(request, next.keepAlive)
         currentReply = reply
+        queuedBytes -= next.heldBytes
+        updateAccount()
+        account?.setPinned(next.heldBytes)
         val job = scope.launch {
             try {
                 handler(request, reply)
@@ -176,7 +252,8 @@
         handlerJob = job
         job.invokeOnCompletion {
             handlerJob = null
-            if (reply.isComplete) currentReply = null
+            account?.setPinned(0)
+            if (reply.isComplete) currentReply = null else reply.holdUntilSent(next.heldBytes)
             lastUseNanos = System.nanoTime()
             if (channel.isActive) {
                 runNext()
@@ -211,9 +288,19 @@
     }
 
     private fun refuse(status: HttpResponseStatus) {
+        if (refusal != null) return
         refusal = status
         requestHead = null
-        body = ByteArrayOutputStream()
+        body = BodyBuffer()
+        undecodedBytes = 0
+        headBytes = 0
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+            queuedRequests.clear()
+            queuedBytes = 0
+        }
+        if (channel.isActive) decoder?.let { channel.pipeline().remove(it) }
+        decoder = null
+        updateAccount()
         timeout?.cancel(false)
         runNext()
     }
@@ -227,6 +314,9 @@
         lastUseNanos = System.nanoTime()
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close")
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, REFUSAL_RETRY_SECONDS)
+        }
         channel.writeAndFlush(response).addListener { (channel as DuplexChannel).shutdownOutput() }
         schedule(limits().headerTimeoutMillis) { close(ConnectionCloseReason.INVALID_REQUEST) }
     }
@@ -234,7 +324,33 @@
     /** The size of all unsent buffers, and how much of the first one has been sent. */
     private data class UnsentBytes(val pendingBytes: Long, val sentBytes: Long)
 
-    private class QueuedRequest(val message: HttpRequestMessage, val keepAlive: Boolean)
+    private class QueuedRequest(val message: HttpRequestMessage, val keepAlive: Boolean, val heldBytes: Long)
+
+    /** Accounts for the lines that the decoder holds until a head or its trailers are complete. */
+    private inner class UndecodedBytesMeter : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (refusal != null || message !is ByteBuf) {
+                ReferenceCountUtil.release(message)
+                return
+            }
+            bytesAfterPart = null
+            val isStart = isIdle && undecodedBytes == 0L
+            // Bodies with a length are decoded at once.
+            val isPlainBody = requestHead?.let { !HttpUtil.isTransferEncodingChunked(it) } == true
+            val linesBytes = if (isPlainBody) 0 else RequestCost.ofLines(message)
+            context.fireChannelRead(message)
+            if (refusal != null || !channel.isActive) return
+            undecodedBytes = when (bytesAfterPart) {
+                null -> undecodedBytes + linesBytes
+                0 -> 0
+                else -> linesBytes
+            }.coerceAtMost(RequestCost.ofMostLines(limits().maxHeaderBytes))
+            if (isStart && bytesAfterPart == null) {
+                schedule(limits().headerTimeoutMillis) { close(ConnectionCloseReason.REQUEST_TIMEOUT) }
+            }
+            updateAccount()
+        }
+    }
 
     private inner class Reply(val request: HttpRequestMessage, private val keepAlive: Boolean) : HttpReply {
         override var isStarted = false
@@ -249,6 +365,7 @@
         /** Whether the last byte of the response has been sent to the caller. */
         var isComplete = false
             private set
+        private var heldUntilSentBytes = 0L
 
         override fun whole(status: Int, headers: HttpHeaders, body: ByteArray) {
             if (isStarted) return
@@ -260,7 +377,7 @@
                 Unpooled.wrappedBuffer(body),
             )
             response.headers().set(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-            onSent(channel.writeAndFlush(setConnectionHeader(response)))
+            onSent(send(setConnectionHeader(response), body.size))
         }
 
         override fun start(status: Int, headers: HttpHeaders) {
@@ -271,9 +388,21 @@
         }
 
         override fun bytes(bytes: ByteArray) {
-            channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+            send(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), bytes.size)
         }
 
+        private fun send(message: HttpObject, sizeBytes: Int): ChannelFuture {
+            val written = channel.writeAndFlush(message)
+            val unsentBytes = sizeBytes.toLong()
+            if (!written.isDone) {
+                account?.addUnsent(unsentBytes)
+                written.addListener { account?.addUnsent(-unsentBytes) }
+            }
+            return written
+        }
+
+        override fun tryHold(bytes: Long): Boolean = account?.tryPin(bytes) ?: true
+
         override suspend fun awaitWritable() {
             while (channel.isActive && !channel.isWritable) writable.await()
         }
@@ -293,8 +422,18 @@
             if (closesAfterResponse) it.headers().set(HttpHeaderNames.CONNECTION, "close")
         }
 
+        /** The request stays in memory until its response is complete, to be reported as unanswered otherwise. */
+        fun holdUntilSent(bytes: Long) {
+            account?.addUnsent(bytes)
+            heldUntilSentBytes = bytes
+        }
+
         private fun onSent(written: ChannelFuture) {
-            written.addListener { isComplete = it.isSuccess }
+            written.addListener {
+                isComplete = it.isSuccess
+                account?.addUnsent(-heldUntilSentBytes)
+                if (isComplete && handlerJob == null && currentReply === this) currentReply = null
+            }
             if (closesAfterResponse) written.addListener(ChannelFutureListener.CLOSE)
         }
     }
@@ -304,5 +443,8 @@
 
         /** Requests of a connection that may wait for the response to one before them. */
         const val MAX_QUEUED = 16
+
+        /** `Retry-After` of a request for which there was no memory. */
+        const val REFUSAL_RETRY_SECONDS = "1"
     }
 }
--- a/standins/src/main/kotlin/ragwortbarrow/standins/process/LocalProcess.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/process/LocalProcess.kt
@@ -8,6 +8,9 @@
 class LocalProcess(private val name: String, private val folder: Path, private val command: () -> ProcessBuilder) {
     private var process: Process? = null
 
+    /** Id of the process that was started last. */
+    val id: Long get() = checkNotNull(process) { "process $name was not started" }.pid()
+
     val isAlive: Boolean get() = process?.isAlive == true
 
     fun start() {
