--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
@@ -23,6 +23,8 @@
     val stopGraceMillis: Long = 8_000,
     /** The largest difference between the clocks of two nodes, or between a clock before and after it is set. */
     val maxClockSkewMillis: Long = DEFAULT_MAX_CLOCK_SKEW_MILLIS,
+    /** Descriptors that the process may open. */
+    val maxDescriptors: Int = 4_096,
     /** Size of an object that the platform's store accepts. */
     val maxObjectBytes: Int = JobStore.DEFAULT_MAX_OBJECT_BYTES,
 )
