Send nothing to the servers of an evacuated failure domain

Cause: the operators' requests to evacuate a domain were not read. When an evacuation ends, the servers count as cold until a newer entry tells.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetPeer.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FleetPeer.kt
@@ -30,7 +30,7 @@
     fun connect(address: String): FleetPeer
 }
 
-enum class SnapshotKind { CONFIGURATION, SERVERS }
+enum class SnapshotKind { CONFIGURATION, SERVERS, EVACUATIONS }
 
 /** A document in the platform's format; [revision] is its version, or the store revision for lists. */
 data class Snapshot(val revision: Long, val document: String)
--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/NodeState.kt
@@ -20,6 +20,8 @@
     val needsBatchSlot: Boolean = false,
     /** Whether the sender can reach the platform's store. */
     val isStoreReachable: Boolean = true,
+    /** Platform revision of the last change of evacuations that the sender knows; 0 if it knows none. */
+    val evacuationsRevision: Long = 0,
 )
 
 /** What a relay knows of a member, as of [ageMillis] ago. */
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.core.placement
 
 import ragwortbarrow.core.ids.BackendServerId
+import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.routing.ServerHealth
 import ragwortbarrow.core.time.SlidingWindowCounter
@@ -42,6 +43,9 @@
     /** The incarnations of servers that said in a response that they leave. */
     private val leavingIncarnations = HashMap<BackendServerId, Long?>()
 
+    /** Failure domains whose servers get no new requests. */
+    var evacuatedDomains: Set<FailureDomainId> = emptySet()
+
     /** Called when a server that was not known to drain says that it leaves. */
     var onLeaving: (BackendServer) -> Unit = {}
 
@@ -130,7 +134,10 @@
         val ofService = serversByService[service] ?: return emptyList()
         val nowMillis = timer.monotonicMillis()
         val candidates = ofService.filter {
-            !it.isDraining && it.id !in excludedServers && (blockedUntilMillis[it.id] ?: 0) <= nowMillis
+            !it.isDraining &&
+                !isEvacuated(it) &&
+                it.id !in excludedServers &&
+                (blockedUntilMillis[it.id] ?: 0) <= nowMillis
         }
         val healthy = candidates.filter { health.isAvailable(it.id) && !isStalled(it.id) }
         return healthy.filter { !isFailing(it.id) }.ifEmpty { healthy }
@@ -164,9 +171,11 @@
 
     private fun sum(counter: SlidingWindowCounter) = counter.sum(timer.monotonicMillis())
 
-    /** All servers of [service] that are not draining, including those that failed recently. */
+    private fun isEvacuated(server: BackendServer) = server.failureDomain in evacuatedDomains
+
+    /** All servers of [service] that are neither draining nor evacuated, including those that failed recently. */
     fun nonDraining(service: String): List<BackendServer> =
-        serversByService[service].orEmpty().filter { !it.isDraining }
+        serversByService[service].orEmpty().filter { !it.isDraining && !isEvacuated(it) }
 
     /** Whether a request to [server], which may limit them, takes none away that could be saved up for later. */
     fun hasSparePermit(server: BackendServer): Boolean = permits.waitMillis(server, isSpare = true) == 0.0
--- a/core/src/main/kotlin/ragwortbarrow/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/ObjectStore.kt
@@ -67,10 +67,11 @@
     /** Entry nodes by VM. */
     ENTRY_NODES("entrynodes"),
 
-    /** Objects that the operators publish: configurations, backend servers, and storage VMs to retire. */
+    /** Objects that the operators publish: configurations, backend servers, and what to retire or evacuate. */
     PUBLISHED_CONFIGURATIONS("publishedconfigurations"),
     BACKEND_SERVERS("backendservers"),
     VM_RETIREMENTS("vmretirements"),
+    EVACUATIONS("evacuations"),
 
     /** The platform's list of VMs; read-only and eventually consistent. */
     VMS("vms"),
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -30,6 +30,7 @@
 import ragwortbarrow.core.peer.PeerError
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.placement.BatchPlacement
+import ragwortbarrow.core.placement.Evacuations
 import ragwortbarrow.core.placement.LatencyEstimates
 import ragwortbarrow.core.placement.OnlinePlacement
 import ragwortbarrow.core.placement.PreferredSlots
@@ -97,12 +98,21 @@
         log,
         millisSinceStoreFailure = { this.platform.millisSinceStoreFailure },
     )
+    private val evacuations = Evacuations(this.platform::parseEvacuation, log)
     private val cancelledJobs = CancelledJobs(timer)
     private val quarantine = PromptQuarantine(timer, log)
     private val channels = GrpcChannels(group = group, keepAliveSeconds = PEER_KEEPALIVE_SECONDS)
     private val connector = GrpcFleetConnector(channels)
-    private val sharedState =
-        FleetStateExchange.SharedState(tracker, rateLimiter, configuration, servers, cancelledJobs, quarantine, limits)
+    private val sharedState = FleetStateExchange.SharedState(
+        tracker,
+        rateLimiter,
+        configuration,
+        servers,
+        cancelledJobs,
+        quarantine,
+        limits,
+        evacuations,
+    )
     private val plan = RelayPlan(members, timer)
     private val stateExchange = FleetStateExchange(members, plan, connector, sharedState, timer, scope, log)
 
@@ -154,10 +164,16 @@
         GrpcPeerServer(it.hostString, it.port, FleetEndpoint(LocalFleetPeer(), dispatcher), group = group)
     }
     private var isDraining = false
-    private val watchers = listOf(
+    private val watchers = listOfNotNull(
         createWatcher(ObjectKind.PUBLISHED_CONFIGURATIONS, ::applyConfiguration),
         createWatcher(ObjectKind.BACKEND_SERVERS, servers::update, servers::replaceAll, servers::remove),
         createWatcher(ObjectKind.VM_RETIREMENTS, ::confirmRetirement),
+        createWatcher(
+            ObjectKind.EVACUATIONS,
+            evacuations::update,
+            evacuations::replaceAll,
+            evacuations::remove,
+        ).takeIf { settings.hasEvacuations },
     )
 
     private val isReady: Boolean get() = !isDraining && configuration.table != null && tracker.all().isNotEmpty()
@@ -171,6 +187,8 @@
             limits.retain(tracker.all())
             assignPreferredSlots()
         }
+        evacuations.onEnded = limits::recordEvacuationEnd
+        evacuations.onChanged = { tracker.evacuatedDomains = it }
         tracker.onLeaving = {
             log.record("backend_server_leaving", "server" to it.id, "incarnation" to it.incarnation)
             assignPreferredSlots()
@@ -403,6 +421,9 @@
         metrics.registerGauge("cold.servers", "Backend servers that take few requests because they may be cold") {
             limits.coldSize
         }
+        metrics.registerGauge("evacuated.domains", "Failure domains whose backend servers get no new requests") {
+            evacuations.domains.size
+        }
         metrics.registerGauge("configuration.version", "Version in force, 0 if none") { configuration.version }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryPlatform.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryPlatform.kt
@@ -1,6 +1,7 @@
 package ragwortbarrow.entry
 
 import com.github.michaelbull.result.Result
+import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.placement.BackendServer
 import ragwortbarrow.core.store.ObjectStore
 import ragwortbarrow.core.store.StoreError
@@ -24,6 +25,9 @@
     /** Null if [entry] describes no usable server. */
     fun parseBackendServer(entry: StoredObject): BackendServer?
 
+    /** The failure domain that [entry] asks to evacuate; null if it names none. */
+    fun parseEvacuation(entry: StoredObject): FailureDomainId?
+
     /** Reports that the storage VM of [request] can be removed without data loss. */
     suspend fun reportRetirementCompleted(request: StoredObject): Result<Unit, StoreError>
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
@@ -21,6 +21,8 @@
     val rateWindowMillis: Long = 5_000,
     /** Time that the platform allows between SIGTERM and SIGKILL. */
     val stopGraceMillis: Long = 8_000,
+    /** Whether the operators may ask to evacuate failure domains. */
+    val hasEvacuations: Boolean = false,
     /** Size of an object that the platform's store accepts. */
     val maxObjectBytes: Int = JobStore.DEFAULT_MAX_OBJECT_BYTES,
 )
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -20,6 +20,7 @@
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.peer.PeerError
+import ragwortbarrow.core.placement.Evacuations
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.serverlimit.ServerLimits
@@ -50,6 +51,7 @@
         val cancelledJobs: CancelledJobs,
         val quarantine: PromptQuarantine,
         val limits: ServerLimits,
+        val evacuations: Evacuations,
     )
 
     /** The last state received from a node with which this one exchanges states. */
@@ -319,6 +321,7 @@
             cancelledJobs = shared.cancelledJobs.recent(),
             isRelayed = to != null && plan.ownRelay()?.vm == to,
             isStoreReachable = isStoreReachable(),
+            evacuationsRevision = shared.evacuations.revision,
         )
     }
 
@@ -372,5 +375,6 @@
     when (kind) {
         SnapshotKind.CONFIGURATION -> configuration.snapshot
         SnapshotKind.SERVERS -> servers.snapshot
+        SnapshotKind.EVACUATIONS -> evacuations.snapshot
     },
 )
--- a/entry/src/main/kotlin/ragwortbarrow/entry/PeerSnapshotFetcher.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/PeerSnapshotFetcher.kt
@@ -13,8 +13,8 @@
 import ragwortbarrow.core.time.TimerService
 
 /**
- * Fetches the configuration and the list of backend servers from a peer with a newer version. A node that watches the
- * platform waits first, since it mostly receives the change from the platform itself.
+ * Fetches the configuration, the list of backend servers and the evacuations from a peer with a newer version. A node
+ * that watches the platform waits first, since it mostly receives the change from the platform itself.
  */
 internal class PeerSnapshotFetcher(
     private val connector: FleetConnector,
@@ -39,6 +39,15 @@
             isWatcher,
         )
         fetchIfNewer(SnapshotKind.SERVERS, state, state.serversRevision, shared.servers.revision, isWatcher)
+        val evacuations = shared.evacuations
+        evacuations.notePeer(state.evacuationsRevision)
+        fetchIfNewer(
+            SnapshotKind.EVACUATIONS,
+            state,
+            state.evacuationsRevision,
+            evacuations.knownRevision,
+            isWatcher,
+        )
     }
 
     private fun fetchIfNewer(
@@ -73,6 +82,7 @@
     private fun applySnapshot(kind: SnapshotKind, snapshot: Snapshot, from: VmId) = when (kind) {
         SnapshotKind.CONFIGURATION -> shared.configuration.tryApply(snapshot.document, "peer $from")
         SnapshotKind.SERVERS -> shared.servers.tryApply(snapshot)
+        SnapshotKind.EVACUATIONS -> shared.evacuations.tryApply(snapshot, "peer $from")
     }
 
     private companion object {
--- a/entry/src/test/kotlin/ragwortbarrow/entry/SharedStateOf.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/SharedStateOf.kt
@@ -6,6 +6,7 @@
 import ragwortbarrow.core.ids.FailureDomainId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.log.DecisionLog
+import ragwortbarrow.core.placement.Evacuations
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.serverlimit.LimitHolders
@@ -18,6 +19,7 @@
     timer: TimerService,
     quarantine: PromptQuarantine = PromptQuarantine(timer, DecisionLog.NONE),
     limits: ServerLimits = serverLimitsOf(timer),
+    evacuations: Evacuations = Evacuations({ FailureDomainId(it.name) }, DecisionLog.NONE),
 ) = FleetStateExchange.SharedState(
     tracker,
     CustomerRateLimiter(timer, windowMillis = 5_000),
@@ -26,6 +28,7 @@
     CancelledJobs(timer),
     quarantine,
     limits,
+    evacuations,
 )
 
 /** The limits that servers name to a fleet of one node. */
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetEndpoint.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetEndpoint.kt
@@ -37,7 +37,11 @@
         answer(reply) { service.exchange(request.toCore()).orThrow().toWire() }
 
     override fun fetchSnapshot(request: SnapshotRequest, reply: StreamObserver<Snapshot>) = answer(reply) {
-        val kind = if (request.servers) SnapshotKind.SERVERS else SnapshotKind.CONFIGURATION
+        val kind = when {
+            request.servers -> SnapshotKind.SERVERS
+            request.evacuations -> SnapshotKind.EVACUATIONS
+            else -> SnapshotKind.CONFIGURATION
+        }
         service.fetchSnapshot(kind).orThrow().toWire()
     }
 
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -84,6 +84,7 @@
     .setRelayed(isRelayed)
     .setUrgent(needsBatchSlot)
     .setPlatformAnswers(isStoreReachable)
+    .setEvacuationsRevision(evacuationsRevision)
     .build()
 
 private fun ActivitySummary.serverLoads(): List<ServerLoad> = (loads.keys + outcomes.keys).map { server ->
@@ -113,6 +114,7 @@
     isRelayed = relayed,
     needsBatchSlot = urgent,
     isStoreReachable = platformAnswers,
+    evacuationsRevision = evacuationsRevision,
 )
 
 private fun ServerLimitReport.toWire(server: BackendServerId): ServerLimit {
--- a/peer/src/main/kotlin/ragwortbarrow/peer/GrpcFleetPeer.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/GrpcFleetPeer.kt
@@ -51,7 +51,8 @@
         call(FleetGrpc.getExchangeMethod(), state.toWire()).map { it.toCore() }
 
     override suspend fun fetchSnapshot(kind: SnapshotKind): Result<Snapshot, PeerError> {
-        val request = SnapshotRequest.newBuilder().setServers(kind == SnapshotKind.SERVERS).build()
+        val request = SnapshotRequest.newBuilder().setServers(kind == SnapshotKind.SERVERS)
+            .setEvacuations(kind == SnapshotKind.EVACUATIONS).build()
         return call(FleetGrpc.getFetchSnapshotMethod(), request, bulkDeadlineMillis).map { it.toCore() }
     }
 
