Start batch items at random servers, by the room that they have

All nodes with waiting items chose the least loaded server of the same report: servers had up to 12 requests and more for 8 slots, with free slots elsewhere. The quota of starts counted the slot that items may not use, and run times came from the few runs that were not interrupted.

Change: BatchPlacement draws the server by its room; the quota counts only slots that items may use; ItemRunTimes counts all runs and the waits between them. BatchBacklogTest records a run by its parts now; what it expects is unchanged.

Tests: core, http, peer and entry pass; PeerRoundTripTest failed once at a load of 13 (a call over loopback without an answer) and passed alone.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/ItemProgress.kt
@@ -28,6 +28,9 @@
     /** Monotonic time before which the item is not started again. */
     var startableAtMillis = Long.MIN_VALUE
 
+    /** Monotonic time at which the first run of the output received so far began, or null before it. */
+    var firstStartMillis: Long? = null
+
     /** Id of the last event that was received completely, or null before the first one. */
     var lastEventId: Long? = null
         private set
@@ -57,6 +60,7 @@
         output = StringBuilder()
         outputBytes = 0
         lastEventId = null
+        firstStartMillis = null
     }
 
     fun applyOutcome(outcome: RunOutcome) {
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -2,6 +2,7 @@
 
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.FailureDomainId
+import kotlin.math.pow
 import kotlin.random.Random
 
 /**
@@ -18,14 +19,29 @@
     private val localDomain: FailureDomainId,
     private val random: Random = Random.Default,
 ) {
-    /** The least loaded server with room for one more item, or null if there is none. */
-    fun place(service: String, slack: Slack, excludedServers: Set<BackendServerId> = emptySet()): BackendServer? =
-        tracker.eligible(service, excludedServers, isBatch = true)
-            .filter { tracker.occupancy(it.id).total < maxOccupancy(it, slack) }
-            .minByOrNull {
-                val remotePenalty = if (it.failureDomain == localDomain) 0.0 else REMOTE_PENALTY
-                tracker.occupancy(it.id).total.toDouble() / it.slots + remotePenalty + random.nextDouble() * TIE_SPREAD
-            }
+    /**
+     * A random server with room for one more item, or null if there is none; one with more room is more likely.
+     *
+     * Several nodes with waiting items see the same loads. If they all chose the least loaded server, it would have
+     * more items than slots before they learn of each other, and most of these would be stopped again.
+     */
+    fun place(service: String, slack: Slack, excludedServers: Set<BackendServerId> = emptySet()): BackendServer? {
+        val room = tracker.eligible(service, excludedServers, isBatch = true)
+            .map { it to weight(it, maxOccupancy(it, slack) - tracker.occupancy(it.id).total) }
+            .filter { (_, weight) -> weight > 0 }
+        var drawn = random.nextDouble() * room.sumOf { (_, weight) -> weight }
+        for ((server, weight) in room) {
+            drawn -= weight
+            if (drawn < 0) return server
+        }
+        return room.lastOrNull()?.first
+    }
+
+    /** Squared, so that servers are filled evenly. */
+    private fun weight(server: BackendServer, freeSlots: Int): Double {
+        val weight = freeSlots.coerceAtLeast(0).toDouble().pow(2)
+        return if (server.failureDomain == localDomain) weight else weight * REMOTE_WEIGHT
+    }
 
     /**
      * The number of this node's items to preempt on [server]. Each node with items there takes its proportional part of
@@ -45,7 +61,9 @@
      * learn of the items that the others start only [REPORT_PERIODS] periods later.
      */
     fun startQuota(nodes: Int): Int {
-        val freeSlots = tracker.all().sumOf { (it.slots - tracker.occupancy(it.id).total).coerceAtLeast(0) }
+        val freeSlots = tracker.all().sumOf {
+            (maxOccupancy(it, Slack.NONE) - tracker.occupancy(it.id).total).coerceAtLeast(0)
+        }
         return (freeSlots.toDouble() / nodes / REPORT_PERIODS * QUOTA_FACTOR + random.nextDouble()).toInt()
     }
 
@@ -59,10 +77,7 @@
         /** Only one in this many nodes has waiting items; the quota of the others stays unused. */
         const val QUOTA_FACTOR = 2.0
 
-        /** As a fraction of a full server: a remote server is chosen when its load is lower by at least this much. */
-        const val REMOTE_PENALTY = 0.25
-
-        /** As a fraction of a full server: loads this close count as equal; about one request in eight. */
-        const val TIE_SPREAD = 0.12
+        /** Weight of a server of another failure domain, against a local one with as many free slots. */
+        const val REMOTE_WEIGHT = 0.5
     }
 }
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/BatchBacklogTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/BatchBacklogTest.kt
@@ -53,7 +53,10 @@
     @Test
     fun `an item that is nearly complete can still meet a close due time`() {
         val times = ItemRunTimes()
-        repeat(20) { times.recordRun(millis = 5_000.0, events = 100) }
+        repeat(20) {
+            times.recordRun(startupMillis = 0.0, streamMillis = 5_000.0, events = 100)
+            times.recordCompletion(elapsedMillis = 5_000.0, events = 100)
+        }
         expectThat(times.remainingMillis(lastEvent = 80)).isLessThan(1_010.0)
         val nearlyComplete = Urgency(2_000, times.fullRunMillis, times.remainingMillis(80))
         val fresh = Urgency(2_000, times.fullRunMillis, times.remainingMillis(0))
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/BatchPlacementTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/BatchPlacementTest.kt
@@ -8,6 +8,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isIn
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import kotlin.random.Random
@@ -88,6 +89,21 @@
         expectThat(placement.excessItems(server)).isEqualTo(0)
     }
 
+    /** All see the loads of 300 ms before, and each starts one item meanwhile. */
+    @Test
+    fun `nodes that start items at the same time do not choose the same server`() {
+        val servers = (1..11).map { server.copy(id = BackendServerId("s$it")) }
+        val loads = servers.withIndex().associate { (index, it) -> it.id to Occupancy(online = 1 + index % 3) }
+        val started = HashMap<BackendServerId, Int>()
+        repeat(14) { node ->
+            val seen = ServerTracker(ManualTimerService()).apply { replace(servers) }
+            seen.updatePeer(VmId("others"), loads)
+            val chosen = BatchPlacement(seen, domain, Random(node)).place("engines", Slack.NONE)
+            started.merge(checkNotNull(chosen).id, 1, Int::plus)
+        }
+        expectThat(started.values.max()).isLessThanOrEqualTo(4)
+    }
+
     private companion object {
         const val REPORT_PERIODS = 3
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -301,7 +301,9 @@
             "server" to server.id,
             "load" to components.tracker.occupancy(server.id).total,
             "after_event" to progress.lastEventId,
+            "remaining_ms" to runTimes.remainingMillis(progress.lastEventId ?: 0).toLong(),
         )
+        if (progress.firstStartMillis == null) progress.firstStartMillis = timer.monotonicMillis()
         // Undispatched: the load counts at once for the placement of the next item, and an item that is cancelled in
         // the same turn still reaches `finally`.
         running.job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
@@ -335,7 +337,7 @@
         val remainingMillis = job.submittedWallMillis + route.maxWaitMillis - timer.wallMillis()
         val head = BackendRequestHead(server.id, remainingMillis.coerceAtLeast(1), job.customer, progress.lastEventId)
         val startedNanos = timer.nanoTime()
-        val isFromStart = progress.lastEventId == null
+        val lastEventIdBefore = progress.lastEventId ?: 0
         val request = try {
             protocol.itemRequest(progress.item, job.host, head)
         } catch (invalid: IllegalArgumentException) {
@@ -359,10 +361,13 @@
                     components.tracker.block(server.id, FULL_SERVER_PAUSE_MILLIS)
                     RunOutcome.Interrupted("server answered $status, not run")
                 }
-                response.head.isStream -> readUntilDeadline(response, progress, head).also {
-                    if (it == RunOutcome.Completed) components.tracker.recordSuccess(server.id)
-                    if (it == RunOutcome.Completed && isFromStart) {
-                        runTimes.recordRun(millisSince(startedNanos), progress.lastEventId ?: 0)
+                response.head.isStream -> {
+                    val startupMillis = millisSince(startedNanos)
+                    try {
+                        readUntilDeadline(response, progress, head).also { recordCompletion(progress, server) }
+                    } finally {
+                        val events = (progress.lastEventId ?: 0) - lastEventIdBefore
+                        runTimes.recordRun(startupMillis, millisSince(startedNanos) - startupMillis, events)
                     }
                 }
                 status in 200..299 -> throw HttpFailure.Broken("the answer bears no stamp or is no stream of events")
@@ -378,6 +383,13 @@
         }
     }
 
+    private fun recordCompletion(progress: ItemProgress, server: BackendServer) {
+        components.tracker.recordSuccess(server.id)
+        val startMillis = progress.firstStartMillis ?: return
+        val elapsedMillis = timer.monotonicMillis() - startMillis
+        runTimes.recordCompletion(elapsedMillis.toDouble(), progress.lastEventId ?: 0)
+    }
+
     private fun millisSince(nanos: Long) = (timer.nanoTime() - nanos) / NANOS_PER_MILLI.toDouble()
 
     /** Reads the body of an error to its end, so that the connection can be reused. */
