Place requests by the speed of servers and by forecast load

Cause: placement counted slots, so a slow server with a free slot was as good as a fast one, and a draw by reported free slots believed reports that were as old as a request lasts.

Change: nodes exchange the events of the last 4 s of each server and the time between them (ServerTimings, two integers in ServerLoad). ServerSpeeds derives how slow a server is relative to its service; between 0.8 and 1.25 it counts as alike. OnlinePlacement expects first byte and departures at that speed, keeps headroom at slow servers and spares servers whose first byte would miss the target. OccupancyForecast takes old reports for less the older they are. Batch items prefer servers that are least loaded for their speed.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/ActivitySummary.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/ActivitySummary.kt
@@ -6,6 +6,7 @@
 import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.placement.Occupancy
 import ragwortbarrow.core.placement.ServerOutcomes
+import ragwortbarrow.core.placement.ServerTimings
 import ragwortbarrow.core.quarantine.QuarantineEvidence
 import ragwortbarrow.core.serverlimit.ServerLimitReport
 
@@ -15,6 +16,8 @@
     val loads: Map<BackendServerId, Occupancy> = emptyMap(),
     /** Recent outcomes of online requests. */
     val outcomes: Map<BackendServerId, ServerOutcomes> = emptyMap(),
+    /** Recent output of backend servers. */
+    val timings: Map<BackendServerId, ServerTimings> = emptyMap(),
     val usage: Map<CustomerId, CustomerUsage> = emptyMap(),
     /** Running batch jobs that were taken over from another node. */
     val takenOverJobs: List<String> = emptyList(),
@@ -37,6 +40,7 @@
         return ActivitySummary(
             loads = sum(summaries, ActivitySummary::loads, Occupancy::plus),
             outcomes = sum(summaries, ActivitySummary::outcomes, ServerOutcomes::plus),
+            timings = sum(summaries, ActivitySummary::timings, ServerTimings::plus),
             usage = sum(summaries, ActivitySummary::usage, CustomerUsage::plus),
             takenOverJobs = summaries.flatMap { it.takenOverJobs },
             acceptedJobs = sum(summaries, ActivitySummary::acceptedJobs) { first, _ -> first },
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -18,13 +18,14 @@
     private val localDomain: FailureDomainId,
     private val random: Random = Random.Default,
 ) {
-    /** The least loaded server with room for one more item, or null if there is none. */
+    /** The server with room for one more item that is least loaded for its speed, or null if there is none. */
     fun place(service: String, slack: Slack, excludedServers: Set<BackendServerId> = emptySet()): BackendServer? =
         tracker.eligible(service, excludedServers, isBatch = true)
             .filter { tracker.occupancy(it.id).total < maxOccupancy(it, slack) }
             .minByOrNull {
                 val remotePenalty = if (it.failureDomain == localDomain) 0.0 else REMOTE_PENALTY
-                tracker.occupancy(it.id).total.toDouble() / it.slots + remotePenalty + random.nextDouble() * TIE_SPREAD
+                val load = (tracker.occupancy(it.id).total + 1.0) / it.slots * tracker.speeds.slowness(it.id)
+                load + remotePenalty + random.nextDouble() * TIE_SPREAD
             }
 
     /**
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OnlinePlacement.kt
@@ -40,8 +40,9 @@
  * rejected immediately, while its caller still has time to retry.
  *
  * Several nodes choose at the same time from loads that are some hundred milliseconds old. Each node therefore first
- * uses slots that no other node prefers ([preferredSlots]), then a random free slot, and only if there is none the
- * least loaded server.
+ * uses slots that no other node prefers ([preferredSlots]), then a random slot that is expected to be free, and only if
+ * there is none the least loaded server. Servers that are slower than others of their service get less
+ * ([ServerSpeeds]).
  */
 class OnlinePlacement(
     private val tracker: ServerTracker,
@@ -50,6 +51,7 @@
     timer: TimerService,
     private val random: Random = Random.Default,
 ) {
+    private val forecast = OccupancyForecast(tracker, latencies)
     private val returnQueue = ReturnQueue(timer, random)
 
     /** The slots by server that [PreferredSlots] assigned to this node; null if there are no other nodes. */
@@ -58,9 +60,9 @@
     fun place(request: PlacementRequest): Placement {
         val candidates = tracker.eligible(request.service, request.excludedServers)
         if (candidates.isEmpty()) return fallback(request)
-        val best = choose(candidates)
+        val best = choose(inTime(candidates, request))
         val waitMillis = waitMillis(best)
-        val expectedMillis = waitMillis + latencies.firstByteMillis(request.service)
+        val expectedMillis = waitMillis + firstByteMillis(best)
         val missesTarget = expectedMillis > request.remainingTargetMillis * TARGET_SHARE
         val missesDeadline = expectedMillis > request.remainingDeadlineMillis
         // A caller with little time left usually can't retry, so a late response is better for it than none.
@@ -74,23 +76,38 @@
     }
 
     /**
-     * How long a repeatable request waits for its first byte at a server where it is expected to queue for
+     * How long a repeatable request waits for its first byte at [server], where it is expected to queue for
      * [waitMillis].
      *
      * Several nodes may have chosen the same server from outdated loads, or the server may be stuck. A request that has
      * no first byte after a time in which nearly all others have one is probably queued, and another server can still
      * respond before the target.
      */
-    fun firstByteTimeoutMillis(service: String, waitMillis: Double): Long {
-        val firstByteMillis = latencies.firstByteMillis(service).takeIf { it > 0 } ?: DEFAULT_FIRST_BYTE_MILLIS
+    fun firstByteTimeoutMillis(server: BackendServer, waitMillis: Double): Long {
+        val averageMillis = latencies.firstByteMillis(server.service).takeIf { it > 0 } ?: DEFAULT_FIRST_BYTE_MILLIS
+        val firstByteMillis = averageMillis * tracker.speeds.slowness(server.id).coerceAtLeast(1.0)
         return (waitMillis + maxOf(firstByteMillis * TIMEOUT_FACTOR, firstByteMillis + MIN_SPREAD_MILLIS)).toLong()
     }
 
     /** Whether a server outside [PlacementRequest.excludedServers] has a free slot and can still meet the target. */
     fun hasFreeAlternative(request: PlacementRequest): Boolean =
-        latencies.firstByteMillis(request.service) <= request.remainingTargetMillis &&
-            tracker.eligible(request.service, request.excludedServers)
-                .any { tracker.occupancy(it.id).total < it.slots }
+        tracker.eligible(request.service, request.excludedServers)
+            .any { tracker.occupancy(it.id).total < it.slots && firstByteMillis(it) <= request.remainingTargetMillis }
+
+    /** The expected time to first byte of a request that does not queue at [server]. */
+    fun firstByteMillis(server: BackendServer): Double =
+        latencies.firstByteMillis(server.service) * tracker.speeds.slowness(server.id)
+
+    /**
+     * The servers that are fast enough for the target of [request]. A few requests go to the others too, or nobody
+     * would notice when they recover.
+     */
+    private fun inTime(candidates: List<BackendServer>, request: PlacementRequest): List<BackendServer> {
+        val limitMillis = request.remainingTargetMillis * TARGET_SHARE
+        val fast = candidates.filter { tracker.speeds.slowness(it.id) <= 1 || firstByteMillis(it) <= limitMillis }
+        val isDivided = fast.size < candidates.size && fast.isNotEmpty()
+        return if (isDivided && random.nextDouble() >= EXPLORATION_SHARE) fast else candidates
+    }
 
     private fun choose(candidates: List<BackendServer>): BackendServer {
         // What servers with a limit take is saved up for a jump in load.
@@ -102,42 +119,44 @@
 
     private fun withFreeSlot(candidates: List<BackendServer>): BackendServer? = preferredSlots?.let { preferred ->
         preferredServer(candidates, preferred)
-            ?: randomServer(candidates) { it.total }
+            ?: randomServer(candidates, countsBatchItems = true)
             // Batch items make room for online requests, but that takes a moment and interrupts their run.
-            ?: randomServer(candidates) { it.online }
+            ?: randomServer(candidates, countsBatchItems = false)
     }
 
-    /** The least loaded server with a free slot where this node uses fewer slots than it is assigned. */
+    /** The best server with a free slot where this node uses fewer slots than it is assigned. */
     private fun preferredServer(
         candidates: List<BackendServer>,
         preferred: Map<BackendServerId, Int>,
     ): BackendServer? = candidates
         .filter {
             val unused = (preferred[it.id] ?: 0) - tracker.localOccupancy(it.id).online
-            unused > 0 && tracker.occupancy(it.id).total < it.slots
+            unused > 0 && tracker.occupancy(it.id).total < forecast.usableSlots(it)
         }
         .minByOrNull { score(it) }
 
     /**
-     * A random server, weighted by free slots. Servers of other failure domains are considered only if few slots of the
-     * local one are free.
+     * A random server, weighted by expected free slots and speed. Servers of other failure domains are considered only
+     * if few slots of the local one are free.
      */
-    private fun randomServer(candidates: List<BackendServer>, usedSlots: (Occupancy) -> Int): BackendServer? {
+    private fun randomServer(candidates: List<BackendServer>, countsBatchItems: Boolean): BackendServer? {
         val local = candidates.filter { it.failureDomain == localDomain }
-        return drawServer(local, minFreeShare = LOCAL_MIN_FREE_SHARE, usedSlots)
-            ?: drawServer(candidates, minFreeShare = 0.0, usedSlots)
+        return drawServer(local, minFreeShare = LOCAL_MIN_FREE_SHARE, countsBatchItems)
+            ?: drawServer(candidates, minFreeShare = 0.0, countsBatchItems)
     }
 
     private fun drawServer(
         from: List<BackendServer>,
         minFreeShare: Double,
-        usedSlots: (Occupancy) -> Int,
+        countsBatchItems: Boolean,
     ): BackendServer? {
-        val freeSlots = from.map { (it.slots - usedSlots(tracker.occupancy(it.id))).coerceAtLeast(0) }
+        val freeSlots = forecast.freeSlots(from, countsBatchItems)
         val total = freeSlots.sum()
-        if (total == 0 || total < from.sumOf { it.slots } * minFreeShare) return null
-        var remaining = random.nextInt(total)
-        return from[freeSlots.indexOfFirst { count -> (remaining < count).also { remaining -= count } }]
+        if (total == 0.0 || total < from.sumOf { it.slots } * minFreeShare) return null
+        val weights = from.mapIndexed { index, server -> freeSlots[index] / tracker.speeds.slowness(server.id) }
+        var remaining = random.nextDouble(weights.sum())
+        val index = weights.indexOfFirst { weight -> (remaining < weight).also { remaining -= weight } }
+        return from[if (index >= 0) index else weights.indexOfLast { it > 0 }]
     }
 
     /** The expected queueing time of a new request at [server]. */
@@ -156,16 +175,16 @@
      * of other nodes are assumed to be spread evenly over the duration of a request.
      */
     private fun departureMillis(server: BackendServer, count: Int): Double {
-        val durationMillis = latencies.durationMillis(server.service)
+        val durationMillis = latencies.durationMillis(server.service) * tracker.speeds.slowness(server.id)
         val local = tracker.localOnlineAgesMillis(server.id).map { (durationMillis - it).coerceAtLeast(0.0) }
         val remote = tracker.occupancy(server.id).online - local.size
         val assumed = (1..remote).map { durationMillis * it / (remote + 1) }
         return (local + assumed).sorted()[count - 1]
     }
 
-    /** Lower is better. */
+    /** The load of [server] with one more request, in terms of an average server; lower is better. */
     private fun score(server: BackendServer): Double {
-        val load = tracker.occupancy(server.id).total.toDouble() / server.slots
+        val load = (tracker.occupancy(server.id).total + 1.0) / server.slots * tracker.speeds.slowness(server.id)
         val remotePenalty = if (server.failureDomain == localDomain) 0.0 else REMOTE_PENALTY
         return load + remotePenalty + random.nextDouble() * TIE_SPREAD
     }
@@ -218,6 +237,9 @@
         maxOf((request.remainingDeadlineMillis / RETRY_DIVISOR).toLong(), MIN_RETRY_MILLIS)
 
     private companion object {
+        /** Share of the requests that may go to servers that are too slow for their target. */
+        const val EXPLORATION_SHARE = 0.01
+
         /** Share of the target available for queueing and the first byte; the rest covers network and variance. */
         const val TARGET_SHARE = 0.85
 
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/ServerTracker.kt
@@ -16,9 +16,13 @@
     private val health: ServerHealth = ServerHealth(timer, maxBackoffMillis = MAX_BACKOFF_MILLIS),
     private val permits: SendPermits = SendPermits.UNLIMITED,
 ) {
+    /** How slow each server is, relative to the others of its service. */
+    val speeds = ServerSpeeds(timer)
+
     private class PeerReport(
         val loads: Map<BackendServerId, Occupancy>,
         val outcomes: Map<BackendServerId, ServerOutcomes>,
+        val receivedMillis: Long,
     )
 
     private class OutcomeCounters {
@@ -60,6 +64,7 @@
     private fun setServers(list: Collection<BackendServer>) {
         servers = list.associateBy { it.id }
         serversByService = list.groupBy { it.service }
+        speeds.replace(list)
     }
 
     private fun isLeaving(server: BackendServer) =
@@ -230,7 +235,7 @@
         loads: Map<BackendServerId, Occupancy>,
         outcomes: Map<BackendServerId, ServerOutcomes> = emptyMap(),
     ) {
-        peerReports[peer] = PeerReport(loads, outcomes)
+        peerReports[peer] = PeerReport(loads, outcomes, timer.monotonicMillis())
         recomputePeerTotals()
     }
 
@@ -240,7 +245,16 @@
         .filterValues { it > 0 }
         .maxByOrNull { it.value }?.key
 
+    /** The average time since the reports of the peers arrived; 0 without peers. */
+    fun reportAgeMillis(): Double = if (peerReports.isEmpty()) {
+        0.0
+    } else {
+        timer.monotonicMillis() -
+            peerReports.values.map { it.receivedMillis }.average()
+    }
+
     fun removePeer(peer: VmId) {
+        speeds.removePeer(peer)
         if (peerReports.remove(peer) != null) recomputePeerTotals()
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/time/SlidingWindowCounter.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/time/SlidingWindowCounter.kt
@@ -1,16 +1,16 @@
 package ragwortbarrow.core.time
 
-/** Counts the events of the last [windowMillis], with a resolution of one fiftieth of the window. */
+/** Counts events, or sums amounts, of the last [windowMillis], with a resolution of one fiftieth of the window. */
 internal class SlidingWindowCounter(private val windowMillis: Long) {
     private val bucketMillis = (windowMillis / BUCKETS).coerceAtLeast(1)
     private val buckets = IntArray(BUCKETS.toInt() + 1)
     private var newestBucket = Long.MIN_VALUE
     private var sum = 0
 
-    fun add(nowMillis: Long) {
+    fun add(nowMillis: Long, amount: Int = 1) {
         advance(nowMillis)
-        buckets[index(newestBucket)]++
-        sum++
+        buckets[index(newestBucket)] += amount
+        sum += amount
     }
 
     /** Removes the newest event. */
--- a/core/src/test/kotlin/ragwortbarrow/core/placement/ManyNodesSimulation.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/placement/ManyNodesSimulation.kt
@@ -9,14 +9,18 @@
 import kotlin.random.Random
 
 /**
- * Simulates online requests in one failure domain, whose nodes place them by delayed reports of the other nodes. The
- * simulated servers serve requests in order of arrival; nodes know their load only from their own requests and reports.
+ * Simulates online requests whose nodes place them by delayed reports of the other nodes. The simulated servers serve
+ * requests in order of arrival; nodes know their load and speed only from their own requests and reports. A run at a
+ * server takes its [slownesses] times as long as usual; they repeat over the servers.
  */
 internal class ManyNodesSimulation(
     private val nodes: Int = 25,
     servers: Int = 21,
+    private val domains: Int = 1,
     private val reportLagMillis: Long = 100,
     private val periodMillis: Long = 100,
+    private val slownesses: List<Double> = listOf(1.0),
+    private val sharesTimings: Boolean = true,
     private val usesPreferredSlots: Boolean = true,
     seed: Int = 11,
 ) {
@@ -25,33 +29,44 @@
         var placed = 0
         var queued = 0
         var late = 0
+        var totalFirstEventMillis = 0.0
+        val sends = HashMap<String, Int>()
         val lateShare: Double get() = late.toDouble() / placed
+        val averageFirstEventMillis: Double get() = totalFirstEventMillis / placed
+
+        /** The requests that the busiest of all [servers] got, as a multiple of the mean. */
+        fun busiestShare(servers: Int) = sends.values.max() * servers / sends.values.sum().toDouble()
 
         override fun toString() = "$placed requests, $queued queued, $late late"
     }
 
-    private class Server(val description: BackendServer) {
-        var freeSlots = SLOTS
+    class Server(val description: BackendServer, var slowness: Double) {
+        internal var freeSlots = SLOTS
         val waiting = ArrayDeque<() -> Unit>()
     }
 
     private val random = Random(seed)
     private val timer = ManualTimerService()
-    private val domain = FailureDomainId("dalton")
-    private val servers = (1..servers).associate {
+    val servers = (1..servers).associate {
         val id = BackendServerId("server-$it")
-        id to Server(BackendServer(id, SERVICE, "10.0.0.$it:80", domain, SLOTS))
+        val description = BackendServer(id, SERVICE, "10.0.0.$it:80", domain(it), SLOTS)
+        id to Server(description, slownesses[it % slownesses.size])
     }
     private val vms = (1..nodes).map { VmId("vm-$it") }
     private val list = this.servers.values.map { it.description }
-    private val trackers = vms.map { ServerTracker(timer).apply { replace(list) } }
+    val trackers = vms.map { ServerTracker(timer).apply { replace(list) } }
+
+    /** The nodes that neither send nor get reports. */
+    val cutOffNodes = HashSet<Int>()
     private val placements = trackers.mapIndexed { index, tracker ->
         val latencies = LatencyEstimates().apply {
             recordDuration(SERVICE, DURATION_MILLIS)
             recordFirstByte(SERVICE, FIRST_EVENT_MILLIS)
         }
-        OnlinePlacement(tracker, latencies, domain, timer, Random(seed + index)).apply {
-            if (usesPreferredSlots) preferredSlots = PreferredSlots.assign(list, vms, vms[index])
+        OnlinePlacement(tracker, latencies, domain(index), timer, Random(seed + index)).apply {
+            val near = list.filter { it.failureDomain == domain(index) }
+            val neighbours = vms.filterIndexed { other, _ -> domain(other) == domain(index) }
+            if (usesPreferredSlots) preferredSlots = PreferredSlots.assign(near, neighbours, vms[index])
         }
     }
     private var phase = Phase()
@@ -60,6 +75,8 @@
         for (index in vms.indices) timer.once(random.nextLong(periodMillis)) { report(index) }
     }
 
+    private fun domain(index: Int) = FailureDomainId("domain-${index % domains}")
+
     /** Sends requests for [millis] at a rate that occupies the share [load] of all slots on average. */
     fun runPhase(load: Double, millis: Long): Phase {
         phase = Phase()
@@ -89,14 +106,20 @@
             return
         }
         val server = servers.getValue(send.server.id)
+        current.sends.merge(send.server.id.value, 1, Int::plus)
         val arrivedMillis = timer.monotonicMillis()
         val recordedStartMillis =
             trackers[node].recordStart(send.server.id, isBatch = false, waitMillis = send.waitMillis)
         if (server.freeSlots == 0) current.queued++
         admit(server) {
-            val firstEventMillis = timer.monotonicMillis() - arrivedMillis + FIRST_EVENT_MILLIS
+            val slowness = server.slowness
+            val firstEventMillis = timer.monotonicMillis() - arrivedMillis + FIRST_EVENT_MILLIS * slowness
             if (firstEventMillis > TARGET_MILLIS) current.late++
-            timer.once((DURATION_MILLIS * random.nextDouble(MIN_DURATION_FACTOR, MAX_DURATION_FACTOR)).toLong()) {
+            current.totalFirstEventMillis += firstEventMillis
+            val durationMillis = DURATION_MILLIS * random.nextDouble(MIN_DURATION_FACTOR, MAX_DURATION_FACTOR)
+            timer.once((durationMillis * slowness).toLong()) {
+                val events = (durationMillis / EVENT_MILLIS).toInt()
+                trackers[node].speeds.recordEvents(send.server.id, events, durationMillis * slowness)
                 trackers[node].recordEnd(send.server.id, isBatch = false, startMillis = recordedStartMillis)
                 server.freeSlots++
                 server.waiting.removeFirstOrNull()?.let { admit(server, it) }
@@ -113,19 +136,33 @@
         }
     }
 
-    /** Delivers this node's current loads to the others after [reportLagMillis]. */
+    /**
+     * Delivers this node's current loads and timings to the others after [reportLagMillis], and to those of other
+     * failure domains after three times as long.
+     */
     private fun report(index: Int) {
+        timer.once(periodMillis) { report(index) }
+        if (index in cutOffNodes) return
         val loads = trackers[index].localLoads().toMap()
-        timer.once(reportLagMillis) {
-            trackers.forEachIndexed { other, tracker -> if (other != index) tracker.updatePeer(vms[index], loads) }
+        val timings = if (sharesTimings) trackers[index].speeds.localTimings() else emptyMap()
+        for ((isNear, receivers) in vms.indices.minus(index).groupBy { domain(it) == domain(index) }) {
+            timer.once(if (isNear) reportLagMillis else reportLagMillis * RELAYS) {
+                for (receiver in receivers.minus(cutOffNodes)) {
+                    trackers[receiver].updatePeer(vms[index], loads)
+                    trackers[receiver].speeds.updatePeer(vms[index], timings)
+                }
+            }
         }
-        timer.once(periodMillis) { report(index) }
     }
 
     private companion object {
         const val SERVICE = "engines"
         const val SLOTS = 8
         const val DURATION_MILLIS = 600.0
+        const val EVENT_MILLIS = 30.0
+
+        /** Reports between failure domains pass a relay at either end. */
+        const val RELAYS = 3
         const val MIN_DURATION_FACTOR = 0.6
         const val MAX_DURATION_FACTOR = 1.4
         const val FIRST_EVENT_MILLIS = 70.0
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -399,6 +399,9 @@
         metrics.registerGauge("limited.servers", "Backend servers that limit the requests of all nodes together") {
             limits.size
         }
+        metrics.registerGauge("slow.servers", "Backend servers that are slower than others of their service") {
+            tracker.speeds.slowServers
+        }
         metrics.registerGauge("configuration.version", "Version in force, 0 if none") { configuration.version }
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -241,6 +241,7 @@
         peerStates[vm] = PeerState(state, timer.monotonicMillis(), (peerStates[vm]?.exchanges ?: 0) + 1)
         val activity = state.activity
         shared.tracker.updatePeer(vm, activity.loads, activity.outcomes)
+        shared.tracker.speeds.updatePeer(vm, activity.timings)
         shared.rateLimiter.updatePeer(vm, activity.usage)
         shared.quarantine.merge(activity.quarantineEvidence)
         shared.limits.merge(activity.serverLimits)
@@ -301,6 +302,7 @@
         val own = ActivitySummary(
             loads = shared.tracker.localLoads(),
             outcomes = shared.tracker.localOutcomes(),
+            timings = shared.tracker.speeds.localTimings(),
             usage = shared.rateLimiter.usage(),
             takenOverJobs = takenOverJobs(),
             acceptedJobs = recentlyAcceptedJobs(),
--- a/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/Forwarder.kt
@@ -195,6 +195,10 @@
                 "candidates" to components.tracker.eligible(service, excluded).size,
                 "chosen" to (placed as? Placement.Send)?.server?.id,
                 "load" to (placed as? Placement.Send)?.let { components.tracker.occupancy(it.server.id).total },
+                "slowness" to (placed as? Placement.Send)?.let { components.tracker.speeds.slowness(it.server.id) },
+                "first_byte_ms" to (placed as? Placement.Send)
+                    ?.let { components.placement.firstByteMillis(it.server).toLong() },
+                "report_age_ms" to components.tracker.reportAgeMillis().toLong(),
                 "wait_ms" to when (placed) {
                     is Placement.Send -> placed.waitMillis.toLong()
                     is Placement.Full -> placed.waitMillis.toLong()
@@ -208,7 +212,7 @@
         private suspend fun attempt(server: BackendServer): Attempt {
             val waitMillis = components.placement.waitMillis(server)
             return try {
-                read(open(server, waitMillis, responseHeadTimeouts(waitMillis)))
+                read(open(server, waitMillis, responseHeadTimeouts(server, waitMillis)))
             } catch (abandoned: LeftQueue) {
                 log.record(
                     "left_queue",
@@ -252,11 +256,18 @@
                 timeouts = timeouts,
                 sharedPromptParts = request.head.sharedPromptParts,
             )
-            if (waitMillis <= 0) components.latencies.recordFirstByte(service, millisSince(sentNanos))
+            if (waitMillis <= 0) recordFirstByte(call, millisSince(sentNanos))
             sentNanosByServer[server.id] = sentNanos
             return call
         }
 
+        private fun recordFirstByte(call: BackendCall, millis: Double) {
+            val speeds = components.tracker.speeds
+            components.latencies.recordFirstByte(service, millis / speeds.slowness(call.server.id))
+            val head = call.response.head
+            if (!head.isStream && head.status in 200..299) speeds.recordEvents(call.server.id, count = 1, millis)
+        }
+
         private suspend fun read(call: BackendCall): Attempt {
             val server = call.server
             return try {
@@ -265,7 +276,8 @@
                         if (it is Attempt.Answered && it.status < 300) {
                             components.latencies.recordDuration(
                                 service,
-                                millisSince(sentNanosByServer.getValue(server.id)),
+                                millisSince(sentNanosByServer.getValue(server.id)) /
+                                    components.tracker.speeds.slowness(server.id),
                             )
                             components.tracker.recordSuccess(server.id)
                         }
@@ -284,14 +296,14 @@
          * A server that is unreachable or stuck sends no response. A request that may be retried goes to another server
          * while it can still succeed in time; any other request waits.
          */
-        private fun responseHeadTimeouts(waitMillis: Double): ResponseHeadTimeouts {
+        private fun responseHeadTimeouts(server: BackendServer, waitMillis: Double): ResponseHeadTimeouts {
             val mayRepeat = route.isResumable || route.isIdempotent
             if (!mayRepeat || possibleRuns + 1 >= route.maxAttempts) return ResponseHeadTimeouts()
             val silenceMillis =
                 if (route.isResumable) IDLE_LIMIT_MILLIS else maxOf(route.targetLatencyMillis, IDLE_LIMIT_MILLIS / 2)
             return ResponseHeadTimeouts(
                 timeoutMillis = silenceMillis + waitMillis.toLong(),
-                abandonAfterMillis = components.placement.firstByteTimeoutMillis(service, waitMillis),
+                abandonAfterMillis = components.placement.firstByteTimeoutMillis(server, waitMillis),
                 mayAbandon = { components.placement.hasFreeAlternative(placementRequest()) },
             )
         }
@@ -333,7 +345,7 @@
                 if (!isContinuation) reply.start(response.head.status, protocol.endToEndHeaders(response.httpResponse))
                 val move = StreamMove(this, server)
                 try {
-                    forwardEvents(response, move, isContinuation)
+                    forwardEvents(response, server, move, isContinuation)
                 } catch (failure: HttpFailure.Broken) {
                     move.finish()?.let { Attempt.Moved(it, failure.message.orEmpty()) } ?: throw failure
                 } finally {
@@ -343,12 +355,14 @@
 
         private suspend fun forwardEvents(
             response: StreamingResponse,
+            server: BackendServer,
             move: StreamMove,
             isContinuation: Boolean,
         ): Attempt {
             val splitter = EventSplitter()
             val lastEventIdBefore = lastEventId
             var waitingSinceNanos = timer.nanoTime()
+            val timing = StreamTiming(components.tracker.speeds, server.id, timer)
             while (true) {
                 if (!move.awaitNext(response.body, waitingSinceNanos)) {
                     move.finish()?.let {
@@ -357,7 +371,9 @@
                     continue
                 }
                 val bytes = response.body.next() ?: break
-                for (event in splitter.add(bytes)) {
+                val events = splitter.add(bytes)
+                timing.recordEvents(events)
+                for (event in events) {
                     response.recordAnswer()
                     if (lastEventId == null) metrics.recordFirstEvent(route.name, timer.nanoTime() - request.startNanos)
                     if (!deliver(event, isContinuation)) {
@@ -369,7 +385,9 @@
                 }
                 val beforeNanos = timer.nanoTime()
                 reply.awaitWritable()
-                waitingSinceNanos += timer.nanoTime() - beforeNanos
+                val pausedNanos = timer.nanoTime() - beforeNanos
+                waitingSinceNanos += pausedNanos
+                timing.recordPause(pausedNanos)
             }
             if (splitter.hasPartialEvent) throw HttpFailure.Broken("the stream ended within an event")
             // Such a response does not show that the broken stream had sent its last event.
--- a/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
+++ b/peer/src/main/kotlin/ragwortbarrow/peer/FleetMapping.kt
@@ -16,6 +16,7 @@
 import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.placement.Occupancy
 import ragwortbarrow.core.placement.ServerOutcomes
+import ragwortbarrow.core.placement.ServerTimings
 import ragwortbarrow.core.quarantine.CrashReport
 import ragwortbarrow.core.quarantine.QuarantineEvidence
 import ragwortbarrow.core.quarantine.QuarantineReport
@@ -86,12 +87,15 @@
     .setPlatformAnswers(isStoreReachable)
     .build()
 
-private fun ActivitySummary.serverLoads(): List<ServerLoad> = (loads.keys + outcomes.keys).map { server ->
-    val load = loads[server] ?: Occupancy()
-    val outcome = outcomes[server] ?: ServerOutcomes()
-    ServerLoad.newBuilder().setServer(server.value).setOnline(load.online).setBatch(load.batch)
-        .setAnswered(outcome.answered).setFailed(outcome.failed).build()
-}
+private fun ActivitySummary.serverLoads(): List<ServerLoad> =
+    (loads.keys + outcomes.keys + timings.keys).map { server ->
+        val load = loads[server] ?: Occupancy()
+        val outcome = outcomes[server] ?: ServerOutcomes()
+        val timing = timings[server] ?: ServerTimings()
+        ServerLoad.newBuilder().setServer(server.value).setOnline(load.online).setBatch(load.batch)
+            .setAnswered(outcome.answered).setFailed(outcome.failed)
+            .setEvents(timing.events).setEventMillis(timing.eventMillis).build()
+    }
 
 internal fun WireNodeState.toCore() = NodeState(
     sender = sender.toCore(),
@@ -102,6 +106,8 @@
         loads = loadsList.associate { BackendServerId(it.server) to Occupancy(online = it.online, batch = it.batch) },
         outcomes = loadsList.filter { it.answered + it.failed > 0 }
             .associate { BackendServerId(it.server) to ServerOutcomes(it.answered, it.failed) },
+        timings = loadsList.filter { it.events > 0 }
+            .associate { BackendServerId(it.server) to ServerTimings(it.events, it.eventMillis) },
         usage = usesList.associate { CustomerId(it.customer) to CustomerUsage(it.admitted, it.offered) },
         takenOverJobs = takenJobsList.toList(),
         acceptedJobs = acceptedJobsList.associate { it.job to JobHolder(it.vm, it.incarnation) },
