--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BatchPlacement.kt
@@ -37,9 +37,9 @@
         return room.lastOrNull()?.first
     }
 
-    /** Squared, so that servers are filled evenly. */
+    /** Squared, so that servers are filled evenly; a free slot of a slow server counts for less. */
     private fun weight(server: BackendServer, freeSlots: Int): Double {
-        val weight = freeSlots.coerceAtLeast(0).toDouble().pow(2)
+        val weight = (freeSlots.coerceAtLeast(0) / tracker.speeds.slowness(server.id)).pow(2)
         return if (server.failureDomain == localDomain) weight else weight * REMOTE_WEIGHT
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -446,6 +446,9 @@
         metrics.registerGauge("evacuated.domains", "Failure domains whose backend servers get no new requests") {
             evacuations.domains.size
         }
+        metrics.registerGauge("slow.servers", "Backend servers that are slower than others of their service") {
+            tracker.speeds.slowServers
+        }
         metrics.registerGauge("configuration.version", "Version in force, 0 if none") { configuration.version }
     }
 
