Let the soak start cold servers and evacuate failure domains

Cause: cold servers and evacuations are new on the operators' platform, and the soak checked neither. Change: two troubles, with FAILBACK and EVAC checked from what servers received.

--- a/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/FaultInjector.kt
@@ -1,9 +1,11 @@
 package ragwortbarrow.soak
 
+import kotlinx.serialization.json.JsonObject
 import ragwortbarrow.standins.link.LinkFault
 import ragwortbarrow.standins.process.LocalProcess
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
 
 /** Injects the faults of a plan at their times, in parallel where they overlap. */
 internal class FaultInjector(
@@ -15,6 +17,7 @@
     private val executor = Executors.newScheduledThreadPool(THREADS) { Thread(it, "fault").apply { isDaemon = true } }
     private val nodeLocks = fleet.nodes.associateWith { Any() }
     private val servers = ServerFaultInjector(fleet, records)
+    private val evacuation = ReentrantLock()
 
     fun schedule(plan: List<PlannedFault>) {
         for (planned in plan) {
@@ -81,6 +84,8 @@
         is SoakFault.Leave -> servers.leave(fault, durationMillis)
         is SoakFault.Limit -> servers.limit(fault, durationMillis)
         is SoakFault.CrashSeries -> servers.crash(fault, durationMillis)
+        is SoakFault.ColdStart -> servers.startCold(fault.server)
+        is SoakFault.Evacuate -> evacuate(fault.failureDomain, durationMillis)
         SoakFault.ChangeConfiguration -> fleet.publishConfiguration()
         SoakFault.WithdrawKey -> withdraw(durationMillis)
     }
@@ -108,6 +113,21 @@
         }
     }
 
+    /** Evacuates one failure domain at a time, since the others have to take its requests. */
+    private fun evacuate(failureDomain: String, durationMillis: Long) {
+        if (!evacuation.tryLock()) return
+        try {
+            fleet.store.put("evacuations", failureDomain, JsonObject(emptyMap()))
+            val fromMillis = nowMillis()
+            pause(durationMillis + EXTRA_EVACUATED_MILLIS)
+            // Recorded before it is taken back: from then on requests may be sent there.
+            records.evacuations += Evacuation(failureDomain, fromMillis, nowMillis())
+            fleet.store.remove("evacuations", failureDomain)
+        } finally {
+            evacuation.unlock()
+        }
+    }
+
     private fun withdraw(durationMillis: Long) = synchronized(records) {
         fleet.publishConfiguration { it += ROTATED_KEY }
         val atMillis = nowMillis()
@@ -127,5 +147,6 @@
 
         /** Leaves time for requests to arrive after the nodes had to apply the configuration. */
         const val EXTRA_WITHDRAWN_MILLIS = 4_000L
+        const val EXTRA_EVACUATED_MILLIS = 7_000L
     }
 }
--- a/soak/src/main/kotlin/ragwortbarrow/soak/ServerFaultInjector.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/ServerFaultInjector.kt
@@ -22,11 +22,15 @@
     }
 
     /** Replaces [server] after [end]; a server is replaced once at a time. */
-    private fun replace(server: Int, end: () -> Unit) = synchronized(locks.computeIfAbsent(server) { Any() }) {
-        end()
-        fleet.retire(server)
-        fleet.startServer(server)
-    }
+    private fun replace(server: Int, coldMillis: Long = 0, end: () -> Unit) =
+        synchronized(locks.computeIfAbsent(server) { Any() }) {
+            end()
+            fleet.retire(server)
+            fleet.startServer(server, coldMillis)
+            if (coldMillis > 0) {
+                records.coldStarts += ColdStart(fleet.serverId(server), nowMillis(), nowMillis() + coldMillis)
+            }
+        }
 
     private fun drainAndAwait(server: Int) {
         fleet.drain(server)
@@ -34,6 +38,12 @@
         pause(DRAIN_DURATION_MILLIS)
     }
 
+    /** Replaces [server], which has ended without notice, by a cold one. */
+    fun startCold(server: Int) = replace(server, coldMillis = COLD_START_MILLIS) {
+        fleet.retire(server)
+        fleet.server(server).close()
+    }
+
     fun limit(fault: SoakFault.Limit, durationMillis: Long) {
         val runner = fleet.server(fault.server)
         // Limits of the same server follow each other.
--- a/soak/src/main/kotlin/ragwortbarrow/soak/ServerTrouble.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/ServerTrouble.kt
@@ -12,6 +12,12 @@
 
     /** Servers name limits of their requests. */
     LIMIT,
+
+    /** Servers are replaced by cold ones. */
+    COLD,
+
+    /** The operator evacuates failure domains. */
+    EVACUATE,
 }
 
 /** Draws the faults of one trouble between [fromMillis] and [untilMillis]. */
@@ -35,6 +41,8 @@
         ServerTrouble.CRASH ->
             listOf(SoakFault.CrashSeries(servers.take(random.nextInt(2, 5)), gapMillis = random.nextLong(1_000)))
         ServerTrouble.LIMIT -> servers.take(random.nextInt(1, 4)).map { SoakFault.Limit(it, drawLimit(random)) }
+        ServerTrouble.COLD -> listOf(SoakFault.ColdStart(servers.first()))
+        ServerTrouble.EVACUATE -> listOf(SoakFault.Evacuate(failureDomain(servers.first(), size)))
     }
 }
 
--- a/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/Soak.kt
@@ -79,6 +79,7 @@
                 script.statuses,
                 fleet.received(),
                 fleet.nodes,
+                size,
             ).violations()
         violations.forEach { log(it) }
         return report(plan.size, violations)
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakConfiguration.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakConfiguration.kt
@@ -10,6 +10,11 @@
 internal const val LIMITED_RATE_PER_SECOND = 20
 internal const val LIMITED_BURST = 20
 
+internal const val COLD_START_MILLIS = 4_000L
+
+/** Requests that a cold server takes from all nodes together. */
+internal const val COLD_REQUESTS_PER_SECOND = 1
+
 /** Configuration in the operators' format, without the keys in [withdrawn]. */
 internal fun configurationText(version: Int, withdrawn: Set<String>): String {
     val keys = listOf(STEADY_KEY, ROTATED_KEY).filter { it !in withdrawn }.joinToString(",") { "\"$it\"" }
@@ -27,7 +32,8 @@
         "batch",
         "\"timeout_ms\":15000,\"max_attempts\":3,\"completion_target_ms\":18000,\"max_wait_s\":90",
     )}],
-        "services":[{"name":"engines","health_path":"/healthz","max_connections":200}],
+        "services":[{"name":"engines","health_path":"/healthz","max_connections":200,
+        "cold_start_s":${COLD_START_MILLIS / 1_000},"cold_per_s":$COLD_REQUESTS_PER_SECOND}],
         "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
         "idle_timeout_ms":15000},
         "tenants":[{"name":"mill","api_keys":[$keys]},
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakFault.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakFault.kt
@@ -67,6 +67,16 @@
         override val targets = emptySet<String>()
     }
 
+    /** A backend server is replaced by one with another id that is cold. */
+    data class ColdStart(val server: Int) : SoakFault {
+        override val targets = emptySet<String>()
+    }
+
+    /** The operator asks that nothing more be sent to the backend servers of [failureDomain]. */
+    data class Evacuate(val failureDomain: String) : SoakFault {
+        override val targets = emptySet<String>()
+    }
+
     data object ChangeConfiguration : SoakFault {
         override val targets = emptySet<String>()
     }
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakFleet.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakFleet.kt
@@ -52,6 +52,7 @@
     private val withdrawnKeys = HashSet<String>()
     private val drainingServers = HashSet<Int>()
     private val retiredServers = HashSet<Int>()
+    private val coldUntilMillis = HashMap<Int, Long>()
 
     /** Nodes that report ready, to which a load balancer would send requests. */
     @Volatile
@@ -107,14 +108,15 @@
         store.put("config", "main", Json.parseToJsonElement(configurationText(version, withdrawnKeys)) as JsonObject)
     }
 
-    /** Starts a server with a new id as server [number], behind the link of that number. */
+    /** Starts a server with a new id as server [number], behind the link of that number; cold for [coldMillis]. */
     @Synchronized
-    fun startServer(number: Int) {
+    fun startServer(number: Int, coldMillis: Long = 0) {
         drainingServers -= number
         retiredServers -= number
         val id = "i-$number-${serverCounter.incrementAndGet()}"
         val runner = OperatorRunnerStandIn(id, RunnerBehaviour.Chosen(script::behaviour))
         startedServers += runner
+        coldUntilMillis[number] = nowMillis() + coldMillis
         currentServers[number] = runner
         links.put(serverLink(number), LoopbackLink(runner.address.substringAfterLast(':').toInt()))?.close()
         register(number)
@@ -129,6 +131,7 @@
             address = "127.0.0.1:${links.getValue(serverLink(number)).port}",
             zone = failureDomain(number, size),
             state = if (number in drainingServers) "draining" else "ready",
+            coldRemainingMillis = (coldUntilMillis.getValue(number) - nowMillis()).coerceAtLeast(0),
         )
     }
 
@@ -209,3 +212,8 @@
 }
 
 internal fun failureDomain(number: Int, size: SoakSize) = "domain-${number % size.failureDomains}"
+
+/** The failure domain of the server with this id, which [SoakFleet.startServer] gave it. */
+internal fun failureDomainOf(serverId: String, size: SoakSize) = failureDomain(serverNumber(serverId), size)
+
+internal fun serverNumber(serverId: String) = serverId.split('-')[1].toInt()
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakRecords.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakRecords.kt
@@ -66,6 +66,8 @@
     val drains = ConcurrentLinkedQueue<ServerDrain>()
     val restarts = ConcurrentLinkedQueue<NodeRestart>()
     val limits = ConcurrentLinkedQueue<ServerLimit>()
+    val coldStarts = ConcurrentLinkedQueue<ColdStart>()
+    val evacuations = ConcurrentLinkedQueue<Evacuation>()
 
     /** Times when the process of a node was paused or not running. */
     val interruptions = Disturbances()
@@ -83,6 +85,12 @@
 /** [node] was stopped gracefully at [fromMillis], and its process had ended at [untilMillis]. */
 internal data class NodeRestart(val node: String, val fromMillis: Long, val untilMillis: Long)
 
+/** [server] is cold between [fromMillis] and [untilMillis]. */
+internal data class ColdStart(val server: String, val fromMillis: Long, val untilMillis: Long)
+
+/** The store acknowledged at [fromMillis] that [failureDomain] is evacuated; it was until [untilMillis]. */
+internal data class Evacuation(val failureDomain: String, val fromMillis: Long, val untilMillis: Long)
+
 /** [server], behind [link], named [limit] in its responses between [fromMillis] and [untilMillis]. */
 internal data class ServerLimit(
     val server: String,
--- a/soak/src/main/kotlin/ragwortbarrow/soak/SoakVerifier.kt
+++ b/soak/src/main/kotlin/ragwortbarrow/soak/SoakVerifier.kt
@@ -13,12 +13,14 @@
     /** Statuses with which servers responded to each request. */
     private val serverStatuses: Map<String, Set<Int>>,
     /** Requests that reached a server, each with the id of that server. */
-    received: List<Pair<String, RunnerRequest>> = runs,
+    private val received: List<Pair<String, RunnerRequest>> = runs,
     nodes: List<String> = emptyList(),
+    size: SoakSize = SoakSize(),
 ) {
     private val answers = PassedAnswers(records, nodes)
     private val leaving = LeavingVerifier(records, answers, received)
     private val limits = LimitVerifier(records, disturbances, answers, received)
+    private val evacuations = EvacuationVerifier(records, disturbances, answers, received, size)
     private val runsById = runs.groupBy { it.second.header("X-Request-Id").orEmpty() }
     private val callsById = records.calls.associateBy { it.id }
 
@@ -28,7 +30,9 @@
         runs.flatMap { (server, request) -> violationsOf(server, request) } +
         rateViolations() +
         leaving.violations() +
-        limits.violations()
+        limits.violations() +
+        coldStartViolations(records.coldStarts, received) +
+        evacuations.violations()
 
     private fun violationsOf(call: SoakCall): List<String> = buildList {
         val runCount = runsById[call.id].orEmpty().size
--- a/soak/src/test/kotlin/ragwortbarrow/soak/SoakPlanTest.kt
+++ b/soak/src/test/kotlin/ragwortbarrow/soak/SoakPlanTest.kt
@@ -28,7 +28,7 @@
     fun `plans hold every kind of fault, and faults that overlap`() {
         val plans = (1L..30L).map { soakPlan(it, 60, size, ServerTrouble.entries.toSet()) }
         val kinds = plans.flatten().map { it.fault::class }.toSet()
-        expectThat(kinds.size).isEqualTo(14)
+        expectThat(kinds.size).isEqualTo(16)
         val overlapping = plans.flatMap { plan ->
             plan.zipWithNext().filter { (a, b) ->
                 b.atMillis <
--- a/soak/src/test/kotlin/ragwortbarrow/soak/SoakVerifierTest.kt
+++ b/soak/src/test/kotlin/ragwortbarrow/soak/SoakVerifierTest.kt
@@ -275,4 +275,26 @@
         job.statuses += 0
         expectThat(violations).isEqualTo(emptyList())
     }
+
+    @Test
+    fun `a cold server gets more requests in a second than it takes`() {
+        records.coldStarts += ColdStart("i-1", fromMillis = 10_000, untilMillis = 14_000)
+        (1L..6L).forEach { ran(id = "c$it", atMillis = 10_000 + it * 160) }
+        ran(id = "late", atMillis = 11_200)
+        expectThat(violations).isEmpty()
+        ran(id = "c7", atMillis = 10_990)
+        expectOnly("FAILBACK")
+    }
+
+    @Test
+    fun `a request reaches an evacuated failure domain`() {
+        records.evacuations += Evacuation("domain-1", fromMillis = 10_000, untilMillis = 20_000)
+        records.calls += call
+        ran(server = "i-1", atMillis = 14_900)
+        ran(id = "other domain", server = "i-2", atMillis = 15_200)
+        expectThat(violations).isEmpty()
+        records.calls += call.copy(id = "c2", kind = SoakKind.PAGE, body = ServerScript.bodyOf("c2"))
+        ran(id = "c2", server = "i-1", atMillis = 15_100)
+        expectOnly("EVAC")
+    }
 }
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -116,6 +116,7 @@
         state: String = "ready",
         service: String = "engines",
         bornMillis: Long = 1_700_000_000_000L,
+        coldRemainingMillis: Long = 0,
     ) {
         val entry = buildJsonObject {
             put("service", service)
@@ -124,7 +125,7 @@
             put("version", "v1")
             put("slots", SERVER_SLOTS)
             put("state", state)
-            put("cold_remaining_ms", 0)
+            put("cold_remaining_ms", coldRemainingMillis)
             put("sequence", 1)
             put("born", bornMillis)
         }
