Name parts of the quarantine and of the members by the usual terms

Cause: blame, heard and told are not the field's terms. Change: CrashAttribution, candidate reports and evidence that is reported; what the code does is unchanged.

--- a/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/fleet/FormerMembers.kt
@@ -5,8 +5,8 @@
 
 /**
  * Nodes that expired as members of the fleet without leaving, up to [MAX_NODES] of them. They may have ended, or run
- * behind a partition; a node that was not heard from for [endedAfterMillis] counts as ended. One that was never heard
- * from counts as ended at once: the platform's store also names nodes that ended long ago.
+ * behind a partition; a node without contact for [endedAfterMillis] counts as ended. One that never had contact
+ * counts as ended immediately: the platform's store also lists nodes that ended long ago.
  */
 internal class FormerMembers(private val timer: TimerService, private val endedAfterMillis: Long) {
     private class FormerMember(val node: FleetNode, val lastContactMillis: Long?)
@@ -22,7 +22,7 @@
     private fun mayRun(member: FormerMember) =
         member.lastContactMillis?.let { timer.monotonicMillis() - it <= endedAfterMillis } ?: false
 
-    /** Adds [node], which was last heard from at [lastContactMillis], or never if that is null. */
+    /** Adds [node], whose last contact was at [lastContactMillis]; null if it never had contact. */
     fun add(node: FleetNode, lastContactMillis: Long?) {
         members[node.address] = FormerMember(node, lastContactMillis)
         if (members.size > MAX_NODES) members.remove(members.keys.first())
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/CrashBlame.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/CrashAttribution.kt
@@ -5,10 +5,10 @@
 
 /**
  * Finds the parts of prompts on which servers crash. A part is suspected of the crashes since it was last answered.
- * The part with the most crashes is blamed for them, of several the one that was answered least recently, and then the
- * one later in the prompt. Its crashes no longer count for the parts beside it.
+ * The crashes are attributed to the part with the most of them, of several the one that was answered least recently,
+ * and then the one later in the prompt. Its crashes no longer count for the parts beside it.
  */
-internal class CrashBlame(
+internal class CrashAttribution(
     private val minCrashes: Int = 3,
     /** Servers that all end within this time, for example with their rack, may have another cause. */
     private val minSpanMillis: Long = 400,
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
@@ -2,8 +2,8 @@
 
 /**
  * Decides when a held batch item is sent to find out whether servers still crash on its quarantined part. All nodes
- * together send one at a time: nodes tell each other the first item that they hold, and the holder of the first of all
- * sends it. It announces the trial first. From then on the trial counts as failed, until it is known that no server got
+ * together send one at a time: nodes exchange the first item that they hold, and the holder of the first of all sends
+ * it. It announces the trial first. From then on the trial counts as failed, until it is known that no server got
  * it, so the trial of a node that ends, or whose outcome is unknown, counts too. Times are monotonic, in milliseconds.
  */
 internal class PartTrials(nowMillis: Long) {
@@ -17,10 +17,11 @@
     private var ownCandidate: String? = null
     private var ownSinceMillis = nowMillis
     private var offeredMillis = nowMillis
-    private val heardMillis = HashMap<String, Long>()
+    /** When the candidate of another node was last reported. */
+    private val candidateReports = HashMap<String, Long>()
 
-    /** Until then this node lets others try, because it could not send its own item. */
-    private var yieldsUntilMillis = Long.MIN_VALUE
+    /** Until then this node offers no candidate, because it could not send its own item. */
+    private var backoffUntilMillis = Long.MIN_VALUE
 
     /** The announced trial that is not sent yet. */
     private var announced: String? = null
@@ -37,15 +38,17 @@
      */
     fun offer(item: String?, lastCrashMillis: Long, nowMillis: Long, isRetried: Boolean) {
         val isOverdue = announced != null && nowMillis - announcedMillis >= SEND_MILLIS
-        if (isOverdue) yieldsUntilMillis = nowMillis + YIELD_MILLIS
-        val candidate = item?.takeIf { nowMillis >= yieldsUntilMillis }
+        if (isOverdue) backoffUntilMillis = nowMillis + BACKOFF_MILLIS
+        val candidate = item?.takeIf { nowMillis >= backoffUntilMillis }
         // A node that was paused does not know what happened meanwhile.
         val isContinued = candidate == ownCandidate && nowMillis - offeredMillis <= MAX_OFFER_GAP_MILLIS
         ownCandidate = candidate
         offeredMillis = nowMillis
         if (!isContinued) ownSinceMillis = nowMillis
         val isFirst = candidate != null &&
-            heardMillis.none { (heard, atMillis) -> heard < candidate && nowMillis - atMillis <= HEARD_MILLIS }
+            candidateReports.none { (other, atMillis) ->
+                other < candidate && nowMillis - atMillis <= REPORT_TTL_MILLIS
+            }
         if (announced != null && !(isContinued && isFirst)) {
             announced = null
             recordReturn(nowMillis)
@@ -72,8 +75,9 @@
         started = maxOf(started, report.started)
         returned = maxOf(returned, report.returned)
         val candidate = report.firstCandidate ?: return
-        heardMillis.values.removeAll { nowMillis - it > HEARD_MILLIS }
-        if (heardMillis.size < MAX_HEARD || candidate in heardMillis) heardMillis[candidate] = nowMillis
+        candidateReports.values.removeAll { nowMillis - it > REPORT_TTL_MILLIS }
+        if (candidateReports.size >= MAX_REPORTS && candidate !in candidateReports) return
+        candidateReports[candidate] = nowMillis
     }
 
     /** Whether [candidate] is to be sent now. */
@@ -105,11 +109,11 @@
         const val SEND_MILLIS = 4_000L
 
         /** Time in which another node announces a trial. */
-        const val YIELD_MILLIS = 10_000L
+        const val BACKOFF_MILLIS = 10_000L
 
         /** Candidates are reported several times within this time. */
-        const val HEARD_MILLIS = 2_500L
+        const val REPORT_TTL_MILLIS = 2_500L
         const val MAX_OFFER_GAP_MILLIS = 500L
-        const val MAX_HEARD = 256
+        const val MAX_REPORTS = 256
     }
 }
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PromptQuarantine.kt
@@ -10,8 +10,8 @@
  * Finds parts of prompts on which backend servers crash, so that requests with them are refused. The evidence of all
  * nodes counts: requests that were in flight at a crash, and parts that were answered since. A quarantine ends after a
  * time without crashes, or when the part is answered after all, for example by the trial of a held batch item
- * ([PartTrials]). Batch items, which may be many, are held for as long again if nobody has shown meanwhile that the
- * part is sound. Its memory is bounded. Confined to one thread.
+ * ([PartTrials]). Batch items, which may be many, are held for as long again unless the part is answered meanwhile. Its
+ * memory is bounded. Confined to one thread.
  */
 class PromptQuarantine(private val timer: TimerService, private val log: DecisionLog) {
     private class Disconnect(
@@ -45,14 +45,14 @@
     private val unconfirmed = ArrayList<Disconnect>()
     private val ownCrashes = ArrayDeque<Disconnect>()
     private val crashLog = CrashLog()
-    private val blame = CrashBlame()
+    private val attribution = CrashAttribution()
     private val ownAnswers = AnsweredParts(MAX_ANSWERED_PARTS)
     private val peerAnswers = AnsweredParts(MAX_ANSWERED_PARTS)
 
     /** Parts of crashed requests that this node has not answered since. */
     private val suspectedParts = HashSet<String>()
 
-    /** Own answers to parts of crashed requests, which the peers are told. */
+    /** Own answers to parts of crashed requests, to be reported to peers. */
     private val sharedAnswers = SharedAnswers(SHARE_MILLIS)
     private var evidenceChangedMillis = Long.MIN_VALUE / 2
     private var lastAnswerMillis = Long.MIN_VALUE
@@ -133,7 +133,7 @@
         }
     }
 
-    /** What this node tells its peers. */
+    /** The evidence that this node reports to its peers. */
     fun evidence(): QuarantineEvidence {
         val nowMillis = timer.monotonicMillis()
         while (ownCrashes.isNotEmpty() && nowMillis - ownCrashes.first().atMillis > SHARE_MILLIS) {
@@ -153,7 +153,7 @@
         )
     }
 
-    /** Adds what a peer told, or a relay told of its nodes. */
+    /** Merges the evidence reported by a peer, or by a relay for its nodes. */
     fun merge(evidence: QuarantineEvidence) {
         val nowMillis = timer.monotonicMillis()
         for (report in evidence.crashes.take(MAX_OWN_CRASHES)) {
@@ -180,8 +180,8 @@
     }
 
     /**
-     * Tells which batch items wait here because parts of their prompts are refused, and which are sent as trials; none
-     * while this node is cut off from most others, which may send trials too. Called periodically.
+     * Updates the batch items that are held here because parts of their prompts are refused, and those sent as trials;
+     * none while this node is cut off from most others, which may send trials too. Called periodically.
      */
     fun updateHeldItems(items: List<HeldItem>) {
         if (quarantines.isEmpty()) return
@@ -218,7 +218,7 @@
     private fun quarantinesOf(parts: Collection<String>): Map<String, Quarantine> =
         quarantines.filter { (part, quarantine) -> part in parts && !quarantine.isReleased }
 
-    /** Sorts items by the number of their parts on which servers may crash: a crash tells more of a single one. */
+    /** Sorts items by the number of their parts on which servers may crash: a crash on a single one proves more. */
     private fun candidate(item: HeldItem): String {
         val suspects = item.sharedParts.count { it in suspectedParts || it in quarantines }
         return "${suspects.toString().padStart(SUSPECTS_DIGITS, '0')} ${item.id}"
@@ -232,7 +232,7 @@
         crashLog.removeBefore(nowMillis - EVIDENCE_MILLIS)
         // The answers of other nodes arrive a little later than their crashes.
         val settled = crashLog.all.filter { nowMillis - it.atMillis >= SETTLE_MILLIS }
-        val suspects = blame.suspects(settled, ::lastAnsweredMillis)
+        val suspects = attribution.suspects(settled, ::lastAnsweredMillis)
         suspects.forEach { quarantine(it) }
         releaseExplained(settled, suspects)
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/SharedAnswers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/SharedAnswers.kt
@@ -1,6 +1,6 @@
 package ragwortbarrow.core.quarantine
 
-/** Answers that the peers are told of for [shareMillis]; the oldest ones are dropped beyond [maxParts]. */
+/** Answers that are reported to peers for [shareMillis]; the oldest ones are dropped beyond [maxParts]. */
 internal class SharedAnswers(private val shareMillis: Long, private val maxParts: Int = 256) {
     private class Answer(val answeredMillis: Long, val recordedMillis: Long)
 
