Compare what entries say of servers without their revision

Cause: an entry's revision became part of BackendServer with the cold servers, and each heartbeat a change again, which nodes fetch from their peers. Change: ServerDirectory leaves the revision out of its comparison. Result: the heartbeat test, whose servers carry their revision now, fails without the change.

--- a/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/quarantine/PartTrials.kt
@@ -17,6 +17,7 @@
     private var ownCandidate: String? = null
     private var ownSinceMillis = nowMillis
     private var offeredMillis = nowMillis
+
     /** When the candidate of another node was last reported. */
     private val candidateReports = HashMap<String, Long>()
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -126,7 +126,7 @@
     fun update(entry: StoredObject) {
         val known = entries[entry.name]?.takeIf { entry.name !in kept }
         if (entry.version <= (known?.version ?: completeRevision)) return
-        if (known != null && decode(known) == decode(entry)) {
+        if (known != null && describe(known) == describe(entry)) {
             // A heartbeat. It is no news for peers, which would fetch the list for each one otherwise.
             entries[entry.name] = entry
             return
@@ -137,6 +137,9 @@
         publish("changed ${loggedName(entry.name)}")
     }
 
+    /** What [entry] says of its server. The revision alone changes with each heartbeat. */
+    private fun describe(entry: StoredObject): BackendServer? = decode(entry)?.copy(entryRevision = 0)
+
     fun remove(name: String, atRevision: Long) {
         val known = entries[name] ?: return
         if (known.version > atRevision) return
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -46,7 +46,14 @@
 
     private fun decode(entry: StoredObject): BackendServer? {
         val address = (entry.spec["address"] as? JsonPrimitive)?.content ?: return null
-        return BackendServer(BackendServerId(entry.name), "engines", address, FailureDomainId("dalton"), slots = 8)
+        return BackendServer(
+            BackendServerId(entry.name),
+            "engines",
+            address,
+            FailureDomainId("dalton"),
+            slots = 8,
+            entryRevision = entry.version,
+        )
     }
 
     private fun entry(name: String, version: Long, vararg fields: Pair<String, String>) = StoredObject(
