Keep the homes of routes and customers

Cause: the regions that routes and customers may use were not read. Change: Route and CustomerAccount hold them. Nothing enforces them yet: a fleet with one region behaves the same.

--- a/core/src/main/kotlin/ragwortbarrow/core/traffic/Route.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/traffic/Route.kt
@@ -41,6 +41,8 @@
     val completionTargetMillis: Long = 0,
     /** For batch routes: the time after its submission at which the remaining items of a job may be failed. */
     val maxWaitMillis: Long = 0,
+    /** Regions whose backend servers may run the requests; empty if all may. Not enforced yet. */
+    val homeRegions: Set<String> = emptySet(),
 ) {
     /** Whether a request may be resent after it may have run. */
     val isIdempotent: Boolean get() = kind == RouteKind.IDEMPOTENT
@@ -65,6 +67,8 @@
     val burst: Double = 0.0,
     /** Overrides the priority of the route; null if the customer has none. */
     val priority: Int? = null,
+    /** Like [Route.homeRegions]; where both name some, both bind. */
+    val homeRegions: Set<String> = emptySet(),
 )
 
 /** Limits on the size of requests and on the time that a connection may take or stay idle. */
