--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntrySettings.kt
@@ -25,6 +25,8 @@
     val maxClockSkewMillis: Long = DEFAULT_MAX_CLOCK_SKEW_MILLIS,
     /** Descriptors that the process may open. */
     val maxDescriptors: Int = 4_096,
+    /** Whether the operators may ask to evacuate failure domains. */
+    val hasEvacuations: Boolean = false,
     /** Size of an object that the platform's store accepts. */
     val maxObjectBytes: Int = JobStore.DEFAULT_MAX_OBJECT_BYTES,
 )
--- a/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/FleetStateExchange.kt
@@ -20,6 +20,7 @@
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
 import ragwortbarrow.core.peer.PeerError
+import ragwortbarrow.core.placement.Evacuations
 import ragwortbarrow.core.placement.ServerTracker
 import ragwortbarrow.core.quarantine.PromptQuarantine
 import ragwortbarrow.core.serverlimit.ServerLimits
@@ -50,6 +51,7 @@
         val cancelledJobs: CancelledJobs,
         val quarantine: PromptQuarantine,
         val limits: ServerLimits,
+        val evacuations: Evacuations,
     )
 
     /** The last state received from a node with which this one exchanges states. */
@@ -244,6 +246,7 @@
         peerStates[vm] = PeerState(state, timer.monotonicMillis(), (peerStates[vm]?.exchanges ?: 0) + 1)
         val activity = state.activity
         shared.tracker.updatePeer(vm, activity.loads, activity.outcomes)
+        shared.tracker.speeds.updatePeer(vm, activity.timings)
         shared.rateLimiter.updatePeer(vm, activity.usage)
         shared.quarantine.merge(activity.quarantineEvidence)
         shared.limits.merge(activity.serverLimits)
@@ -304,6 +307,7 @@
         val own = ActivitySummary(
             loads = shared.tracker.localLoads(),
             outcomes = shared.tracker.localOutcomes(),
+            timings = shared.tracker.speeds.localTimings(),
             usage = shared.rateLimiter.usage(),
             takenOverJobs = takenOverJobs(),
             acceptedJobs = recentlyAcceptedJobs(),
@@ -322,6 +326,7 @@
             cancelledJobs = shared.cancelledJobs.recent(),
             isRelayed = to != null && plan.ownRelay()?.vm == to,
             isStoreReachable = isStoreReachable(),
+            evacuationsRevision = shared.evacuations.revision,
         )
     }
 
@@ -375,5 +380,6 @@
     when (kind) {
         SnapshotKind.CONFIGURATION -> configuration.snapshot
         SnapshotKind.SERVERS -> servers.snapshot
+        SnapshotKind.EVACUATIONS -> evacuations.snapshot
     },
 )
