--- a/core/src/main/kotlin/ragwortbarrow/core/callers/CallerMemory.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/callers/CallerMemory.kt
@@ -65,8 +65,11 @@
 
         /** Adds [bytes] to what is held for the handled request, if others can give way for it. */
         fun tryPin(bytes: Long): Boolean {
+            val boundBytes = if (bytes <= SMALL_BYTES) limits.limitBytes else limits.largeRequestBytes
+            // Callers do not give way to a request for which there is no room even then.
+            if (totalBytes + bytes - holders.sumOf { it.offeredBytes } > boundBytes) return false
             makeRoom(bytes)
-            if (totalBytes + bytes > limits.largeRequestBytes) return false
+            if (totalBytes + bytes > boundBytes) return false
             setPinned(pinnedBytes + bytes)
             return true
         }
@@ -118,7 +121,9 @@
                 .maxWithOrNull(compareBy<Holder> { it.isStalled }.thenBy { it.offeredBytes }) ?: return
             val offeredBytes = leaving.offeredBytes
             leaving.giveWay(GivingWay.MEMORY)
-            check(leaving.offeredBytes < offeredBytes) { "a connection that gave way still holds $offeredBytes bytes" }
+            // A connection that released nothing is closed, or it would be chosen again and again.
+            if (leaving.offeredBytes >= offeredBytes) leaving.giveWay(GivingWay.CONNECTIONS)
+            if (leaving.offeredBytes >= offeredBytes) leaving.close()
         }
     }
 
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BackendServer.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BackendServer.kt
@@ -18,4 +18,15 @@
     val coldRemainingMillis: Long? = null,
     /** The platform's revision of the server's entry. */
     val entryRevision: Long = 0,
-)
+) {
+    /** Whether only the revision differs from [earlier], or a time that has passed meanwhile. */
+    fun isHeartbeatAfter(earlier: BackendServer): Boolean {
+        val beforeMillis = earlier.coldRemainingMillis
+        val isCountdown = if (coldRemainingMillis == null || beforeMillis == null) {
+            coldRemainingMillis == beforeMillis
+        } else {
+            coldRemainingMillis <= beforeMillis
+        }
+        return isCountdown && copy(coldRemainingMillis = beforeMillis, entryRevision = earlier.entryRevision) == earlier
+    }
+}
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ColdServers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ColdServers.kt
@@ -67,6 +67,11 @@
 
     private val Observation.tells: Boolean get() = remainingMillis != null
 
+    /** Records an entry that may differ from the listed one in its revision and remaining time alone. */
+    fun recordHeartbeat(server: BackendServer) {
+        if (server.id in servers) observe(server)
+    }
+
     /** Records that [server] refused a connection, so that its process may have ended. */
     fun recordRefusedConnection(server: BackendServer) =
         suspect(server, observe(server).revision, SUSPECTED_MILLIS, "connection_refused")
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ServerLimits.kt
@@ -131,6 +131,9 @@
         else -> atNanos > known.atNanos
     }
 
+    /** Records that [server] wrote its entry again. */
+    fun recordHeartbeat(server: BackendServer) = coldServers.recordHeartbeat(server)
+
     /** Records that [server] refused a connection, so that it may be cold when it takes the next one. */
     fun recordRefusedConnection(server: BackendServer) = coldServers.recordRefusedConnection(server)
 
--- a/core/src/test/kotlin/ragwortbarrow/core/callers/CallerMemoryTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/callers/CallerMemoryTest.kt
@@ -77,6 +77,30 @@
         expectThat(handled.tryPin(400_000)).isFalse()
     }
 
+    @Test
+    fun `nobody gives way to a request that would not fit even then`() {
+        val handled = open("handled")
+        open("large").setReclaimable(500_000)
+        expectThat(handled.tryPin(2_000_000)).isFalse()
+        expectThat(gaveWay).isEmpty()
+    }
+
+    @Test
+    fun `more is held for a small request beside large ones`() {
+        val small = open("small")
+        open("handled").setPinned(800_000)
+        expectThat(small.tryPin(20_000)).isTrue()
+    }
+
+    @Test
+    fun `a caller that releases nothing is not asked again`() {
+        val asked = ArrayList<GivingWay>()
+        val stubborn = checkNotNull(memory.open { asked += it })
+        stubborn.setReclaimable(600_000)
+        open("other").setReclaimable(500_000)
+        expectThat(asked).containsExactly(GivingWay.MEMORY, GivingWay.CONNECTIONS)
+    }
+
     @Test
     fun `the connection that was idle longest gives way to a new one`() {
         open("handled").setPinned(1_000)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ActiveJob.kt
@@ -39,6 +39,9 @@
     var isSealed = false
     var isStoring = false
 
+    /** Whether another node has stored a chunk, so that it may have taken the job over. */
+    var mayHaveNewHolder = false
+
     /** Whether the stored state of the job has to be read, because messages about its changes may have been missed. */
     var needsReconciliation = false
     var isReconciling = false
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BackendCalls.kt
@@ -93,7 +93,7 @@
         tracker.recordFailure(server.id)
         pool.drop(server.address)
         when (failure) {
-            is HttpFailure.ConnectFailed -> limits.recordRefusedConnection(server)
+            is HttpFailure.ConnectFailed -> if (failure.isRefused) limits.recordRefusedConnection(server)
             is HttpFailure.Broken -> Unit
         }
     }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -284,13 +284,15 @@
             remote.isHolderUnconfirmed = true
         }
         val page = readStoredPage(job, remote, customer, after).getOrElse { return Err(it) }
-        if (page == null || page.results.isNotEmpty() || remote.results?.isComplete == true) return Ok(page)
-        return Ok(awaitHolder(job, customer, after, waitMillis) ?: page)
+        val mayGrow = page != null && page.results.isEmpty() && remote.results?.isComplete != true
+        if (!mayGrow || waitMillis <= 0) return Ok(page)
+        // The results that were read before the pause may be too old after it.
+        return awaitHolder(job, customer, after, waitMillis)?.let { Ok(it) }
+            ?: readStoredPage(job, remote, customer, after)
     }
 
     /** Waits as the holder would: a caller that got an empty page at once would ask again at once. */
     private suspend fun awaitHolder(job: String, customer: String, after: Int, waitMillis: Long): JobPage? {
-        if (waitMillis <= 0) return null
         timer.pause(waitMillis)
         localPage(job, customer, after, waitMillis = 0)?.let { return it }
         val remote = remoteJobs[job]?.takeIf { isCurrent(it) } ?: return null
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -202,6 +202,7 @@
             limits.retain(tracker.all())
             assignPreferredSlots()
         }
+        servers.onHeartbeat = limits::recordHeartbeat
         evacuations.onEnded = limits::recordEvacuationEnd
         evacuations.onChanged = { tracker.evacuatedDomains = it }
         tracker.onLeaving = {
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -156,9 +156,11 @@
                 }
                 if (error !is StoreError.AlreadyExists) {
                     log.record("results_not_sealed", "job" to job.job.id, "chunk" to number, "reason" to error)
+                    reloadResults(job)
                     return
                 }
                 reloadResults(job)
+                if (!isHolderConfirmed(job)) return
             }
         } finally {
             job.isStoring = false
@@ -578,6 +580,8 @@
 
     private suspend fun storeChunk(job: ActiveJob) {
         val id = job.job.id
+        while (activeJobs[id] === job && !isHolderConfirmed(job)) timer.pause(RETRY_MILLIS)
+        if (activeJobs[id] !== job) return
         val chunk = job.log.nextChunk(job.unstoredResults, minOf(components.jobStore.maxChunkBytes, job.maxChunkBytes))
         if (chunk.results.isEmpty()) {
             removeStoredResults(job)
@@ -619,13 +623,25 @@
 
     /** Handles a number that is in use: another node took the job over, or an earlier try of this write took effect. */
     private suspend fun resolveConflict(job: ActiveJob) {
+        job.mayHaveNewHolder = true
         if (!reloadResults(job)) timer.pause(RETRY_MILLIS)
-        // A node that stored more results of a job that it has lost would hide them from callers of the new holder.
-        while (activeJobs[job.job.id] === job && !reconcile(job)) timer.pause(RETRY_MILLIS)
+    }
+
+    /**
+     * Whether this node still holds [job] although another one has stored a chunk: it reads the state of the job then.
+     * A node that stored more results of a job that it has lost would hide them from callers of the new holder.
+     */
+    private suspend fun isHolderConfirmed(job: ActiveJob): Boolean {
+        if (!job.mayHaveNewHolder) return true
+        job.mayHaveNewHolder = false
+        if (!reconcile(job)) job.mayHaveNewHolder = true
+        return !job.mayHaveNewHolder && activeJobs[job.job.id] === job
     }
 
     private suspend fun reloadResults(job: ActiveJob): Boolean {
+        val chunksBefore = job.log.nextChunkNumber
         val isRead = components.jobStore.readResults(job.job.id, job.log).isOk
+        if (job.log.nextChunkNumber > chunksBefore) job.mayHaveNewHolder = true
         job.signalChange()
         job.waiting.removeAll { job.log.contains(it.item.id) }
         job.running.filterKeys { job.log.contains(it.item.id) }.values.forEach { it.job?.cancel() }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/ServerDirectory.kt
@@ -34,6 +34,9 @@
     /** Called with the addresses of all servers after each change. */
     var onServersChanged: (addresses: Set<String>) -> Unit = {}
 
+    /** Called for each entry that a server wrote again without a change. */
+    var onHeartbeat: (BackendServer) -> Unit = {}
+
     /** The time until which a server is kept, and until which it is at most, however often calls to the store fail. */
     private class Kept(val untilMillis: Long, val atMostUntilMillis: Long)
 
@@ -126,9 +129,10 @@
     fun update(entry: StoredObject) {
         val known = entries[entry.name]?.takeIf { entry.name !in kept }
         if (entry.version <= (known?.version ?: completeRevision)) return
-        if (known != null && describe(known) == describe(entry)) {
-            // A heartbeat. It is no news for peers, which would fetch the list for each one otherwise.
+        if (known != null && isHeartbeat(known, entry)) {
+            // It is no news for peers, which would fetch the list for each one otherwise.
             entries[entry.name] = entry
+            decode(entry)?.let(onHeartbeat)
             return
         }
         kept.remove(entry.name)
@@ -137,8 +141,11 @@
         publish("changed ${loggedName(entry.name)}")
     }
 
-    /** What [entry] says of its server. The revision alone changes with each heartbeat. */
-    private fun describe(entry: StoredObject): BackendServer? = decode(entry)?.copy(entryRevision = 0)
+    private fun isHeartbeat(known: StoredObject, entry: StoredObject): Boolean {
+        val before = decode(known)
+        val now = decode(entry)
+        return if (before == null || now == null) before == now else now.isHeartbeatAfter(before)
+    }
 
     fun remove(name: String, atRevision: Long) {
         val known = entries[name] ?: return
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerTest.kt
@@ -7,6 +7,7 @@
 import ragwortbarrow.core.ids.BackendServerId
 import ragwortbarrow.core.ids.VmId
 import ragwortbarrow.core.jobs.ItemResult
+import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.jobs.ResultChunk
 import ragwortbarrow.core.jobs.ResultLog
 import ragwortbarrow.core.placement.Occupancy
@@ -18,6 +19,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
 
 class JobRunnerTest {
     private val fixture = JobRunnerFixture()
@@ -177,6 +179,53 @@
         expectThat(isStored).isFalse()
     }
 
+    /** The store gets the takeover of another node, and its first chunk, while this node is out of touch. */
+    private fun takeOverElsewhere() {
+        val other = JobHolder("vm-9", 9)
+        fixture.timer.advance(1_000)
+        fixture.scope.launch {
+            fixture.jobStore.updateState("job") { it.copy(holder = other) }
+            fixture.jobStore.appendResults("job", 0, ResultChunk(first = 0, emptyList()))
+        }
+        fixture.dispatcher.runQueued()
+    }
+
+    private fun storedChunks(): Int {
+        val stored = ResultLog(3)
+        fixture.scope.launch { fixture.jobStore.readResults("job", stored) }
+        fixture.dispatcher.runQueued()
+        return stored.nextChunkNumber
+    }
+
+    @Test
+    fun `a node that has lost a job lets it go instead of sealing its results behind those of the new holder`() {
+        runner.startJob(fixture.job(items = 3), ResultLog(3), isTakenOver = true)
+        val job = checkNotNull(runner.activeJob("job"))
+        takeOverElsewhere()
+        fixture.scope.launch { runner.rereadResults(job) }
+        pass(1_000)
+        expectThat(runner.activeJob("job")).isNull()
+        expectThat(storedChunks()).isEqualTo(1)
+    }
+
+    @Test
+    fun `results of a lost job are not stored behind those of the new holder that a caller has made known`() {
+        fixture.tracker.replace(emptyList())
+        runner.startJob(fixture.job(items = 3), ResultLog(3), isTakenOver = true)
+        val job = checkNotNull(runner.activeJob("job"))
+        job.unstoredResults += ItemResult("item-1", isCompleted = true, "own")
+        job.isStoring = true
+        takeOverElsewhere()
+        fixture.scope.launch { runner.rereadResults(job) }
+        pass(1_000)
+        job.isStoring = false
+        fixture.configure(version = 2, emptyList())
+        fixture.tracker.replace(fixture.servers)
+        pass(1_000)
+        expectThat(runner.activeJob("job")).isNull()
+        expectThat(storedChunks()).isEqualTo(1)
+    }
+
     private fun pass(millis: Long) = repeat((millis / 100).toInt()) {
         fixture.timer.advance(100)
         fixture.quarantine.recordAnswer(listOf("common", "other"))
--- a/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/ServerDirectoryTest.kt
@@ -52,6 +52,7 @@
             address,
             FailureDomainId("dalton"),
             slots = 8,
+            coldRemainingMillis = (entry.spec["cold"] as? JsonPrimitive)?.content?.toLong(),
             entryRevision = entry.version,
         )
     }
@@ -218,6 +219,23 @@
         expectThat(tracker.names()).containsExactly("a")
     }
 
+    @Test
+    fun `a remaining time that runs down is no change, and a new one is`() {
+        val watching = directory(ServerTracker(timer))
+        val heartbeats = ArrayList<Long?>()
+        watching.onHeartbeat = { heartbeats += it.coldRemainingMillis }
+        watching.replaceAll(list(3, coldServer("a", 2, "3000")))
+        watching.update(coldServer("a", 4, "1800"))
+        watching.update(coldServer("a", 5, "0"))
+        expectThat(watching.revision).isEqualTo(2)
+        expectThat(heartbeats).containsExactly(1_800, 0)
+        watching.update(coldServer("a", 6, "3000"))
+        expectThat(watching.revision).isEqualTo(6)
+    }
+
+    private fun coldServer(name: String, version: Long, remainingMillis: String) =
+        entry(name, version, "address" to "10.1.0.9:80", "cold" to remainingMillis)
+
     /** The watch begins at the revision of the first page, and delivers the removal. */
     @Test
     fun `a removal is applied although a later page of the list had a newer entry`() {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpClientPool.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -11,6 +12,7 @@
 import io.netty.util.NetUtil
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 import kotlin.coroutines.resumeWithException
@@ -104,7 +106,7 @@
             val created = connection
             when {
                 !it.isSuccess || created == null ->
-                    continuation.resumeWithException(HttpFailure.ConnectFailed("$address: ${it.cause()?.message}"))
+                    continuation.resumeWithException(connectFailure(address, it.cause()))
                 continuation.isActive -> {
                     onConnect(address)
                     continuation.resume(created)
@@ -115,6 +117,12 @@
         continuation.invokeOnCancellation { connectFuture.channel().close() }
     }
 
+    private fun connectFailure(address: String, cause: Throwable?): HttpFailure.ConnectFailed {
+        // Netty's timeout is a ConnectException too.
+        val isRefused = cause is ConnectException && cause !is ConnectTimeoutException
+        return HttpFailure.ConnectFailed("$address: ${cause?.message}", isRefused)
+    }
+
     companion object {
         /** The fraction of a server's keep-alive timeout within which an idle connection is reused. */
         const val KEPT_SHARE = 0.8
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpFailure.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpFailure.kt
@@ -5,7 +5,8 @@
  * [Broken] the server may have processed the request.
  */
 sealed class HttpFailure(message: String) : Exception(message, null, false, false) {
-    class ConnectFailed(message: String) : HttpFailure(message)
+    /** [isRefused]: the server's machine answered that nothing listens at the address. */
+    class ConnectFailed(message: String, val isRefused: Boolean = false) : HttpFailure(message)
 
     open class Broken(message: String) : HttpFailure(message)
 
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -68,6 +68,7 @@
 
     /** The status that ends the connection when the requests before it have been answered. */
     private var refusal: HttpResponseStatus? = null
+    private var isRefusalSent = false
     private val queuedRequests = ArrayDeque<QueuedRequest>()
     private var timeout: Future<*>? = null
     private var lastUseNanos = System.nanoTime()
@@ -288,7 +289,9 @@
     }
 
     private fun refuse(status: HttpResponseStatus) {
-        if (refusal != null) return
+        // Queued requests before an invalid one can still be refused for lack of memory.
+        val replacesRefusal = status == HttpResponseStatus.SERVICE_UNAVAILABLE && queuedRequests.isNotEmpty()
+        if (refusal != null && !replacesRefusal) return
         refusal = status
         requestHead = null
         body = BodyBuffer()
@@ -310,6 +313,8 @@
      * time for a request is over: closing the connection with unread bytes resets it, and the refusal may be lost.
      */
     private fun refuseAndClose(status: HttpResponseStatus) {
+        if (isRefusalSent) return
+        isRefusalSent = true
         closeReason = ConnectionCloseReason.INVALID_REQUEST
         lastUseNanos = System.nanoTime()
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
