Name evictions and entries by the usual terms, and log states of jobs that are not read

Cause: give way, offered and tells are not the field's terms; a job whose state could not be read stopped silently. Change: renamed in the account of callers, cold servers and evacuations; job_state_not_read in the log. Result: tests of the touched classes in core, http and entry pass; same behaviour apart from the log line.

--- a/core/src/main/kotlin/ragwortbarrow/core/callers/CallerMemory.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/callers/CallerMemory.kt
@@ -8,9 +8,9 @@
  * are handled, and unsent bytes of responses. It answers the load of callers that are not controlled, who each keep to
  * the limits of a single request and together send more than the process has memory or descriptors for.
  *
- * When the account is full, callers give way whose request has not begun: first those that stalled, then those that
- * hold the most. Requests that are handled keep what they hold. Requests of more than [SMALL_BYTES] may fill only a
- * share of the account, so that ordinary callers find room beside them.
+ * When the account is full, connections whose request has not begun are evicted: first those that stalled, then those
+ * that hold the most. Requests that are handled keep what they hold. Requests of more than [SMALL_BYTES] may fill only
+ * a share of the account, so that ordinary callers find room beside them.
  */
 class CallerMemory(private val limits: CallerMemoryLimits, private val timer: TimerService) {
     private val holders = LinkedHashSet<Holder>()
@@ -21,8 +21,8 @@
 
     val connections: Int get() = holders.size
 
-    /** The account of one connection; [giveWay] has to release what is reclaimable, or to close the connection. */
-    inner class Holder internal constructor(private val giveWay: (GivingWay) -> Unit) {
+    /** The account of one connection; [evict] has to release what is reclaimable, or to close the connection. */
+    inner class Holder internal constructor(private val evict: (EvictionReason) -> Unit) {
         private var progressNanos = timer.nanoTime()
         private var isOpen = true
 
@@ -41,13 +41,13 @@
         internal val isStalled: Boolean get() = idleNanos >= STALLED_MILLIS * NANOS_PER_MILLI
         internal val idleNanos: Long get() = timer.nanoTime() - progressNanos
 
-        /** What the process gets back if this connection gives way now. */
-        internal val offeredBytes: Long get() = reclaimableBytes + if (isStalled) unsentBytes else 0L
+        /** What an eviction of this connection would release now. */
+        internal val evictableBytes: Long get() = reclaimableBytes + if (isStalled) unsentBytes else 0L
 
         /** Whether the connection can be closed without the loss of a request that is handled, or of a response. */
-        internal val isClosable: Boolean get() = pinnedBytes == 0L && (unsentBytes == 0L || isStalled)
+        internal val isEvictable: Boolean get() = pinnedBytes == 0L && (unsentBytes == 0L || isStalled)
 
-        /** Adjusts what is held for requests that have not begun; callers give way if it does not fit. */
+        /** Adjusts what is held for requests that have not begun; evicts connections if it does not fit. */
         fun setReclaimable(bytes: Long) {
             if (!isOpen) return
             val growth = bytes - reclaimableBytes
@@ -63,11 +63,11 @@
             pinnedBytes = bytes
         }
 
-        /** Adds [bytes] to what is held for the handled request, if others can give way for it. */
+        /** Adds [bytes] to what is held for the handled request, if there is room after evictions. */
         fun tryPin(bytes: Long): Boolean {
             val boundBytes = if (bytes <= SMALL_BYTES) limits.limitBytes else limits.largeRequestBytes
-            // Callers do not give way to a request for which there is no room even then.
-            if (totalBytes + bytes - holders.sumOf { it.offeredBytes } > boundBytes) return false
+            // Nobody is evicted for a request that would not fit even then.
+            if (totalBytes + bytes - holders.sumOf { it.evictableBytes } > boundBytes) return false
             makeRoom(bytes)
             if (totalBytes + bytes > boundBytes) return false
             setPinned(pinnedBytes + bytes)
@@ -97,17 +97,17 @@
             totalBytes += bytes
         }
 
-        internal fun giveWay(reason: GivingWay) = giveWay.invoke(reason)
+        internal fun evict(reason: EvictionReason) = evict.invoke(reason)
     }
 
-    /** Opens the account of a new connection, for which another one may give way; null if there is no room for it. */
-    fun open(giveWay: (GivingWay) -> Unit): Holder? {
+    /** Opens the account of a new connection, for which another one may be evicted; null if there is no room for it. */
+    fun open(evict: (EvictionReason) -> Unit): Holder? {
         if (holders.size >= limits.maxConnections) {
-            val leaving = holders.filter { it.isClosable }.maxByOrNull { it.idleNanos } ?: return null
-            leaving.close()
-            leaving.giveWay(GivingWay.CONNECTIONS)
+            val victim = holders.filter { it.isEvictable }.maxByOrNull { it.idleNanos } ?: return null
+            victim.close()
+            victim.evict(EvictionReason.CONNECTIONS)
         }
-        val holder = Holder(giveWay)
+        val holder = Holder(evict)
         holders += holder
         totalBytes += CONNECTION_BYTES
         makeRoom()
@@ -117,13 +117,13 @@
     private fun makeRoom(neededBytes: Long = 0) {
         while (totalBytes + neededBytes > limits.largeRequestBytes) {
             val smallestBytes = if (totalBytes + neededBytes > limits.limitBytes) 0L else SMALL_BYTES
-            val leaving = holders.filter { it.offeredBytes > smallestBytes }
-                .maxWithOrNull(compareBy<Holder> { it.isStalled }.thenBy { it.offeredBytes }) ?: return
-            val offeredBytes = leaving.offeredBytes
-            leaving.giveWay(GivingWay.MEMORY)
+            val victim = holders.filter { it.evictableBytes > smallestBytes }
+                .maxWithOrNull(compareBy<Holder> { it.isStalled }.thenBy { it.evictableBytes }) ?: return
+            val evictableBytes = victim.evictableBytes
+            victim.evict(EvictionReason.MEMORY)
             // A connection that released nothing is closed, or it would be chosen again and again.
-            if (leaving.offeredBytes >= offeredBytes) leaving.giveWay(GivingWay.CONNECTIONS)
-            if (leaving.offeredBytes >= offeredBytes) leaving.close()
+            if (victim.evictableBytes >= evictableBytes) victim.evict(EvictionReason.CONNECTIONS)
+            if (victim.evictableBytes >= evictableBytes) victim.close()
         }
     }
 
@@ -134,13 +134,13 @@
         /** An open connection without a request: its channel, handlers and buffers. */
         const val CONNECTION_BYTES = 4L * 1024
 
-        /** Time without progress after which a connection gives way before those that make progress. */
+        /** Time without progress after which a connection is evicted before those that make progress. */
         const val STALLED_MILLIS = 1_000L
     }
 }
 
-/** What made a connection give way. */
-enum class GivingWay { MEMORY, CONNECTIONS }
+/** Why a connection was evicted. */
+enum class EvictionReason { MEMORY, CONNECTIONS }
 
 /** Bounds of what a process holds for its callers. */
 data class CallerMemoryLimits(val limitBytes: Long, val maxConnections: Int) {
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/BackendServer.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/BackendServer.kt
@@ -14,7 +14,7 @@
     val isDraining: Boolean = false,
     /** Identifies the start of the server's process, which may keep its id; null if the server does not tell. */
     val incarnation: Long? = null,
-    /** How long the server stayed cold when it wrote its entry; null if it does not tell. */
+    /** How long the server stayed cold when it wrote its entry; null if the entry has no readable time. */
     val coldRemainingMillis: Long? = null,
     /** The platform's revision of the server's entry. */
     val entryRevision: Long = 0,
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/Evacuations.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/Evacuations.kt
@@ -16,7 +16,7 @@
 
 /**
  * The failure domains that the operators evacuate: their servers get no new requests until the evacuation is taken
- * back. Known from the platform's store or from peers, whichever tells first, and kept while neither can be reached.
+ * back. Known from the platform's store or from peers, whichever is first, and kept while neither can be reached.
  * Confined to one thread.
  */
 class Evacuations(private val decode: (StoredObject) -> FailureDomainId?, private val log: DecisionLog) {
@@ -82,12 +82,14 @@
     /** Adopts what a peer knows if it is newer. */
     fun tryApply(snapshot: Snapshot, source: String) {
         if (snapshot.revision <= knownRevision) return
-        val told = (storeJson.parseToJsonElement(snapshot.document) as JsonArray).map { it as JsonObject }.associate {
+        val reported = (storeJson.parseToJsonElement(snapshot.document) as JsonArray).map {
+            it as JsonObject
+        }.associate {
             FailureDomainId(it.getValue(DOMAIN).jsonPrimitive.content) to it.getValue(REVISION).jsonPrimitive.long
         }
         revision = snapshot.revision
         completeRevision = snapshot.revision
-        change(told, ended = revisions.keys - told.keys, source, snapshot.revision)
+        change(reported, ended = revisions.keys - reported.keys, source, snapshot.revision)
     }
 
     /**
--- a/core/src/main/kotlin/ragwortbarrow/core/placement/OccupancyForecast.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/placement/OccupancyForecast.kt
@@ -7,7 +7,7 @@
  * The slots of backend servers that are expected to be free now, from reports that are some hundred milliseconds old.
  *
  * Online requests of other nodes end, and new ones arrive, while a report travels. The older it is, relative to the
- * duration of a request at the server, the less it says about this server and the closer the expectation is to the
+ * duration of a request at the server, the less it is worth for this server and the closer the expectation is to the
  * average over all servers. A node that is cut off thus spreads its requests evenly. Batch items run much longer than
  * reports are old, and count as reported.
  */
--- a/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ColdServers.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/serverlimit/ColdServers.kt
@@ -13,10 +13,10 @@
  * Knows which backend servers are cold: a server that has just started tolerates few requests per second from all nodes
  * together.
  *
- * A server's entry tells how long it stays cold, counted from when this node first saw that revision of the entry. One
- * whose entry does not tell is cold from when it was first seen. A server that refused a connection, or whose failure
- * domain was evacuated, may have started again: it is treated as cold until a newer entry tells. Only services whose
- * settings name a rate for cold servers have any. Confined to one thread.
+ * A server's entry has the time for which it stays cold, counted from when this node first saw that revision of the
+ * entry. Without a readable time it is cold from when it was first seen. A server that refused a connection, or whose
+ * failure domain was evacuated, may have started again: it is treated as cold until a newer entry has a time. Only
+ * services whose settings name a rate for cold servers have any. Confined to one thread.
  */
 internal class ColdServers(
     private val timer: TimerService,
@@ -25,7 +25,7 @@
 ) {
     private class Observation(val revision: Long, val incarnation: Long?, val remainingMillis: Long?, val atNanos: Long)
 
-    /** A server that may have started again; entries up to [revision] do not tell. */
+    /** A server that may have started again; entries up to [revision] are older than that. */
     private class Suspicion(val revision: Long, val untilNanos: Long)
 
     private val observations = HashMap<BackendServerId, Observation>()
@@ -52,12 +52,12 @@
             server.entryRevision,
             server.incarnation,
             server.coldRemainingMillis,
-            // An entry that does not tell leaves the server as cold as it was.
+            // An entry without a readable time leaves the server as cold as it was.
             known?.atNanos?.takeIf { server.coldRemainingMillis == null } ?: timer.nanoTime(),
         )
         observations[server.id] = observation
-        if (!observation.tells) {
-            if (known?.tells != false) logUntold(server)
+        if (!observation.hasTime) {
+            if (known?.hasTime != false) logUnreadableTime(server)
         } else if (suspicions[server.id]?.let { it.revision < server.entryRevision } == true) {
             suspicions -= server.id
         }
@@ -65,7 +65,7 @@
         return observation
     }
 
-    private val Observation.tells: Boolean get() = remainingMillis != null
+    private val Observation.hasTime: Boolean get() = remainingMillis != null
 
     /** Records an entry that may differ from the listed one in its revision and remaining time alone. */
     fun recordHeartbeat(server: BackendServer) {
@@ -86,13 +86,13 @@
     private fun suspect(server: BackendServer, revision: Long, millis: Long, reason: String) {
         if (settings(server.service).coldRequestsPerSecond <= 0) return
         val observed = observe(server)
-        if (observed.revision > revision && observed.tells) return
+        if (observed.revision > revision && observed.hasTime) return
         val wasCold = requestsPerSecond(server) != null
         suspicions[server.id] = Suspicion(revision, timer.nanoTime() + millis * NANOS_PER_MILLI)
         if (!wasCold) logCold(server, reason, millis)
     }
 
-    private fun logUntold(server: BackendServer) {
+    private fun logUnreadableTime(server: BackendServer) {
         if (settings(server.service).coldRequestsPerSecond <= 0) return
         log.record("server_cold_untold", "server" to server.id, "revision" to server.entryRevision)
     }
--- a/core/src/main/kotlin/ragwortbarrow/core/store/StoreCircuit.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/StoreCircuit.kt
@@ -8,7 +8,7 @@
 
 /**
  * Decides which calls to the platform's store are made. After [FAILURE_THRESHOLD] consecutive calls that the store did
- * not serve, one call at a time is made as a probe and the others fail at once, until a call is served. The pauses
+ * not serve, one call at a time is made as a probe and the others fail immediately, until a call is served. The pauses
  * between probes grow to [MAX_PAUSE_MILLIS] and are random, since all nodes notice an outage at the same time.
  *
  * It answers the load of an outage, in which each waiting write of each node would be sent again several times a
--- a/core/src/test/kotlin/ragwortbarrow/core/callers/CallerMemoryTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/callers/CallerMemoryTest.kt
@@ -14,13 +14,13 @@
 class CallerMemoryTest {
     private val timer = ManualTimerService()
     private val memory = CallerMemory(CallerMemoryLimits(limitBytes = MEGABYTE, maxConnections = 8), timer)
-    private val gaveWay = ArrayList<String>()
+    private val evicted = ArrayList<String>()
 
     private fun open(name: String): CallerMemory.Holder {
         lateinit var holder: CallerMemory.Holder
         holder = checkNotNull(
             memory.open {
-                gaveWay += "$name $it"
+                evicted += "$name $it"
                 holder.setReclaimable(0)
                 holder.addUnsent(-holder.unsentBytes)
             },
@@ -29,42 +29,42 @@
     }
 
     @Test
-    fun `the caller that holds the most gives way`() {
+    fun `the caller that holds the most is evicted`() {
         open("large").setReclaimable(500_000)
         open("larger").setReclaimable(600_000)
-        expectThat(gaveWay).containsExactly("larger MEMORY")
+        expectThat(evicted).containsExactly("larger MEMORY")
     }
 
     @Test
-    fun `a stalled caller gives way before one that holds more and makes progress`() {
+    fun `a stalled caller is evicted before one that holds more and makes progress`() {
         open("stalled").setReclaimable(300_000)
         timer.advance(CallerMemory.STALLED_MILLIS)
         open("large").setReclaimable(500_000)
-        expectThat(gaveWay).containsExactly("stalled MEMORY")
+        expectThat(evicted).containsExactly("stalled MEMORY")
     }
 
     @Test
-    fun `a request that is handled keeps its memory and a large one gives way to it`() {
+    fun `a request that is handled keeps its memory and a large one is evicted for it`() {
         open("handled").setPinned(700_000)
         open("large").setReclaimable(200_000)
-        expectThat(gaveWay).containsExactly("large MEMORY")
+        expectThat(evicted).containsExactly("large MEMORY")
     }
 
     @Test
     fun `small requests find room beside large ones`() {
         open("handled").setPinned(800_000)
         open("small").setReclaimable(20_000)
-        expectThat(gaveWay).isEmpty()
+        expectThat(evicted).isEmpty()
     }
 
     @Test
-    fun `a response gives way only when its caller stalled`() {
+    fun `a response is evicted only when its caller stalled`() {
         open("slow").addUnsent(700_000)
         open("large").setReclaimable(200_000)
-        expectThat(gaveWay).containsExactly("large MEMORY")
+        expectThat(evicted).containsExactly("large MEMORY")
         timer.advance(CallerMemory.STALLED_MILLIS)
         open("next").setReclaimable(200_000)
-        expectThat(gaveWay).containsExactly("large MEMORY", "slow MEMORY")
+        expectThat(evicted).containsExactly("large MEMORY", "slow MEMORY")
     }
 
     @Test
@@ -73,16 +73,16 @@
         handled.setPinned(100_000)
         open("large").setReclaimable(500_000)
         expectThat(handled.tryPin(400_000)).isTrue()
-        expectThat(gaveWay).containsExactly("large MEMORY")
+        expectThat(evicted).containsExactly("large MEMORY")
         expectThat(handled.tryPin(400_000)).isFalse()
     }
 
     @Test
-    fun `nobody gives way to a request that would not fit even then`() {
+    fun `nobody is evicted for a request that would not fit even then`() {
         val handled = open("handled")
         open("large").setReclaimable(500_000)
         expectThat(handled.tryPin(2_000_000)).isFalse()
-        expectThat(gaveWay).isEmpty()
+        expectThat(evicted).isEmpty()
     }
 
     @Test
@@ -94,21 +94,21 @@
 
     @Test
     fun `a caller that releases nothing is not asked again`() {
-        val asked = ArrayList<GivingWay>()
+        val asked = ArrayList<EvictionReason>()
         val stubborn = checkNotNull(memory.open { asked += it })
         stubborn.setReclaimable(600_000)
         open("other").setReclaimable(500_000)
-        expectThat(asked).containsExactly(GivingWay.MEMORY, GivingWay.CONNECTIONS)
+        expectThat(asked).containsExactly(EvictionReason.MEMORY, EvictionReason.CONNECTIONS)
     }
 
     @Test
-    fun `the connection that was idle longest gives way to a new one`() {
+    fun `the connection that was idle longest is evicted for a new one`() {
         open("handled").setPinned(1_000)
         timer.advance(1)
         open("idle")
         timer.advance(1)
         repeat(7) { open("new $it") }
-        expectThat(gaveWay).containsExactly("idle CONNECTIONS")
+        expectThat(evicted).containsExactly("idle CONNECTIONS")
     }
 
     @Test
--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -291,7 +291,7 @@
             ?: readStoredPage(job, remote, customer, after)
     }
 
-    /** Waits as the holder would: a caller that got an empty page at once would ask again at once. */
+    /** Waits as the holder would: a caller that got an empty page immediately would repeat its request immediately. */
     private suspend fun awaitHolder(job: String, customer: String, after: Int, waitMillis: Long): JobPage? {
         timer.pause(waitMillis)
         localPage(job, customer, after, waitMillis = 0)?.let { return it }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/CallerRefusalLog.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/CallerRefusalLog.kt
@@ -6,7 +6,7 @@
 import ragwortbarrow.core.time.TimerService
 import ragwortbarrow.http.CallerRefusal
 
-/** Counts the callers that gave way, and logs them together once per period, since a crowd may be refused at once. */
+/** Counts evicted callers, and logs them together once per period, since a crowd may be refused at the same time. */
 internal class CallerRefusalLog(
     private val memory: CallerMemory,
     private val timer: TimerService,
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryMetrics.kt
@@ -48,7 +48,7 @@
             .tag("closed_by", reason.name).register(registry)
     }.increment()
 
-    /** Counts a caller that gave way to others. */
+    /** Counts a caller that was evicted for others. */
     fun countRefusedCaller(reason: CallerRefusal) = refusedCallers.getOrPut(reason) {
         Counter.builder("ragwortbarrow.entry.callers.refused").description("Callers that gave way to others")
             .tag("reason", reason.name).register(registry)
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -651,7 +651,10 @@
     /** Stops [job] if its stored state says that it was cancelled or is held by another node; false if unreadable. */
     private suspend fun reconcile(job: ActiveJob): Boolean {
         val id = job.job.id
-        val state = components.jobStore.state(id).getOrElse { return false }
+        val state = components.jobStore.state(id).getOrElse {
+            log.record("job_state_not_read", "job" to id, "reason" to it)
+            return false
+        }
         val holder = state.holder ?: job.job.holder
         val self = JobHolder(components.members.self.vm.value, components.members.self.incarnation)
         when {
--- a/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
+++ b/http/src/main/kotlin/ragwortbarrow/http/HttpServerConnection.kt
@@ -32,7 +32,7 @@
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import ragwortbarrow.core.callers.CallerMemory
-import ragwortbarrow.core.callers.GivingWay
+import ragwortbarrow.core.callers.EvictionReason
 import ragwortbarrow.core.time.ChangeSignal
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import java.util.concurrent.TimeUnit
@@ -94,7 +94,7 @@
         val added = StrictRequestDecoder(limits()).also { decoder = it }
         pipeline.addLast(UndecodedBytesMeter(), added, HttpResponseEncoder(), this)
         if (memory == null) return
-        val opened = memory.open(::giveWay)
+        val opened = memory.open(::evict)
         account = opened
         if (opened != null) {
             channel.closeFuture().addListener { opened.close() }
@@ -169,20 +169,20 @@
         }
     }
 
-    /** Holds what has arrived of the requests that have not begun. Any connection may give way, also this one. */
+    /** Accounts for what has arrived of requests that have not begun. Any connection may be evicted, also this one. */
     private fun updateAccount() {
         val bufferBytes = if ((decoder?.undecodedBytes ?: 0) > 0) HttpServer.MAX_READ_BYTES else 0
         account?.setReclaimable(undecodedBytes + bufferBytes + headBytes + body.allocatedBytes + queuedBytes)
     }
 
     /** Releases what is held for requests that have not begun; the first of them is refused and has not run. */
-    private fun giveWay(reason: GivingWay) {
+    private fun evict(reason: EvictionReason) {
         when (reason) {
-            GivingWay.CONNECTIONS -> {
+            EvictionReason.CONNECTIONS -> {
                 onRefused(CallerRefusal.CONNECTIONS)
                 close(ConnectionCloseReason.REFUSED)
             }
-            GivingWay.MEMORY -> {
+            EvictionReason.MEMORY -> {
                 onRefused(CallerRefusal.MEMORY)
                 val holder = account
                 if (holder == null || holder.reclaimableBytes == 0L) {
