--- a/review/7/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/review-2/EndThenKill.class ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec java -Xmx256m -cp target/review-2 EndThenKill "$PWD/review/7"
+exec java -Xmx256m -cp target/review-2 EndThenKill "$PWD/review/9"
