Stop ended batch jobs although the node that stored the end was killed

Cause: the end is stored, but the holder learned of it only by messages of the node that stored it, which die with that process: a call, made only if the holder was known from an earlier exchange, and the next exchange of states. Change: nodes that run jobs watch the stored states of jobs, beginning with a list (JobStateFollower), and also learn of takeovers from it. Ends are remembered for jobs that are about to start. The node that handles an end takes the holder from the stored job and state, and calls it before the ack.

--- a/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/BatchJobHandler.kt
@@ -177,7 +177,7 @@
             log.record("job_holder_unknown", "job" to job, "reason" to it)
             null
         }
-        val reply = remote?.let { callHolder(job, it) { peer -> peer.checkJobs(listOf(job)) } }
+        val reply = remote?.let { callHolder(job, it.holder) { peer -> peer.checkJobs(listOf(job)) } }
         if (reply == null) onJobWithoutHolder(job)
     }
 
@@ -233,7 +233,7 @@
             return reject(head, reply, ResultCode.NOT_FOUND, "no job ${operation.job}")
         }
         // A caller that leaves meanwhile cancels its request, but the holder must learn of an end that is stored.
-        scope.async { storeCancellation(operation.job) }.await().fold(
+        scope.async { storeCancellation(job) }.await().fold(
             {
                 log.record("job_end_acknowledged", "request_id" to head.requestId, "job" to operation.job)
                 reply.whole(200, JSON, EMPTY_OBJECT)
@@ -242,10 +242,10 @@
         )
     }
 
-    private suspend fun storeCancellation(job: String): Result<JobState, StoreError> =
-        jobStore.updateState(job) { it.copy(isCancelled = true) }.onSuccess {
-            cancelledJobs.add(job)
-            cancelAtHolder(job)
+    private suspend fun storeCancellation(job: BatchJob): Result<JobState, StoreError> =
+        jobStore.updateState(job.id) { it.copy(isCancelled = true) }.onSuccess { state ->
+            cancelledJobs.add(job.id)
+            cancelAtHolder(job.id, state.holder ?: job.holder)
         }
 
     /** Results of a job that this node runs; null if it does not run the job. */
@@ -279,7 +279,7 @@
         val remote = findRemoteJob(job).getOrElse { return Err(it) } ?: return Ok(null)
         val known = remote.results
         if (known == null || !known.isComplete) {
-            val fromPeer = callHolder(job, remote) { it.readResults(job, customer, after, waitMillis) }
+            val fromPeer = callHolder(job, remote.holder) { it.readResults(job, customer, after, waitMillis) }
             if (fromPeer != null) return Ok(fromPeer)
             remote.isHolderUnconfirmed = true
         }
@@ -296,7 +296,7 @@
         timer.pause(waitMillis)
         localPage(job, customer, after, waitMillis = 0)?.let { return it }
         val remote = remoteJobs[job]?.takeIf { isCurrent(it) } ?: return null
-        return callHolder(job, remote) { it.readResults(job, customer, after, 0) }
+        return callHolder(job, remote.holder) { it.readResults(job, customer, after, 0) }
     }
 
     /** Reads results from the store, for a job whose holder does not respond. */
@@ -320,7 +320,7 @@
         val local = localItem(job, customer, item)
         if (local.isJobFound) return Ok(local.body)
         val remote = findRemoteJob(job).getOrElse { return Err(it) } ?: return Ok(null)
-        val fromPeer = callHolder(job, remote) { it.readItem(job, customer, item) }
+        val fromPeer = callHolder(job, remote.holder) { it.readItem(job, customer, item) }
         if (fromPeer != null && fromPeer.isJobFound) return Ok(fromPeer.body)
         remote.isHolderUnconfirmed = true
         val stored = readStoredJob(job, remote).getOrElse { return Err(it) }
@@ -364,10 +364,10 @@
 
     private suspend fun <T> callHolder(
         job: String,
-        remote: RemoteJob,
+        holder: JobHolder,
         operation: suspend (FleetPeer) -> Result<T?, PeerError>,
     ): T? {
-        val node = node(remote.holder) ?: return null
+        val node = node(holder) ?: return null
         return operation(connector.connect(node.address)).fold(
             { it },
             {
@@ -377,10 +377,8 @@
         )
     }
 
-    private suspend fun cancelAtHolder(job: String) {
-        if (runner.cancelJob(job)) return
-        val remote = remoteJobs[job] ?: return
-        callHolder(job, remote) { it.cancelJob(job) }
+    private suspend fun cancelAtHolder(job: String, holder: JobHolder) {
+        if (!runner.cancelJob(job)) callHolder(job, holder) { it.cancelJob(job) }
     }
 
     private fun node(holder: JobHolder): FleetNode? =
--- a/entry/src/main/kotlin/ragwortbarrow/entry/CancelledJobs.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/CancelledJobs.kt
@@ -5,24 +5,31 @@
 
 /** Recently cancelled batch jobs, which nodes announce to each other. */
 class CancelledJobs(private val timer: TimerService, private val announceMillis: Long = 10_000) {
-    private val cancelledAtMillis = HashMap<String, Long>()
+    private val announcedUntilMillis = HashMap<String, Long>()
 
     /** Called once for each cancelled job. */
     var onCancelled: (job: String) -> Unit = {}
 
     fun add(job: String) = addAll(listOf(job))
 
-    operator fun contains(job: String): Boolean = job in cancelledAtMillis
+    /** Adds a job without announcing it: every node that runs jobs reads this end from the store itself. */
+    fun addStored(job: String) = put(job, announcedUntilMillis = Long.MIN_VALUE)
+
+    operator fun contains(job: String): Boolean = job in announcedUntilMillis
 
     fun addAll(jobs: List<String>) {
-        val nowMillis = timer.monotonicMillis()
-        for (job in jobs) if (cancelledAtMillis.putIfAbsent(job, nowMillis) == null) onCancelled(job)
+        val untilMillis = timer.monotonicMillis() + announceMillis
+        for (job in jobs) put(job, untilMillis)
+    }
+
+    private fun put(job: String, announcedUntilMillis: Long) {
+        if (this.announcedUntilMillis.putIfAbsent(job, announcedUntilMillis) == null) onCancelled(job)
     }
 
     /** Jobs to announce to peers. Older ones are kept, so that [onCancelled] is not called twice for a job. */
     fun recent(): List<String> {
-        if (cancelledAtMillis.isEmpty()) return emptyList()
+        if (announcedUntilMillis.isEmpty()) return emptyList()
         val nowMillis = timer.monotonicMillis()
-        return cancelledAtMillis.filterValues { nowMillis - it < announceMillis }.keys.toList()
+        return announcedUntilMillis.filterValues { nowMillis < it }.keys.toList()
     }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -26,6 +26,7 @@
 import ragwortbarrow.core.fleet.RelayPlan
 import ragwortbarrow.core.fleet.Snapshot
 import ragwortbarrow.core.fleet.SnapshotKind
+import ragwortbarrow.core.jobs.JobHolder
 import ragwortbarrow.core.jobs.JobStore
 import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.log.record
@@ -149,6 +150,8 @@
         maxClockSkewMillis = settings.maxClockSkewMillis,
     )
     private val failover = JobFailover(members, plan, connector, jobStore, runner, timer, scope, log)
+    private val jobStates =
+        JobStateFollower(runner, cancelledJobs, jobStore, JobHolder(self.vm.value, self.incarnation), timer)
     private val jobHandler =
         BatchJobHandler(runner, jobStore, members, connector, cancelledJobs, protocol, timer, scope, log)
     private val placement = OnlinePlacement(tracker, latencies, settings.failureDomain, timer)
@@ -183,6 +186,7 @@
         createWatcher(ObjectKind.PUBLISHED_CONFIGURATIONS, ::applyConfiguration),
         createWatcher(ObjectKind.BACKEND_SERVERS, servers::update, servers::replaceAll, servers::remove),
         createWatcher(ObjectKind.VM_RETIREMENTS, ::confirmRetirement),
+        createWatcher(ObjectKind.ENTRY_JOB_STATES, jobStates::update),
         createWatcher(
             ObjectKind.EVACUATIONS,
             evacuations::update,
@@ -356,6 +360,7 @@
         // While the store is unreachable, only this watcher retries.
         ObjectKind.PUBLISHED_CONFIGURATIONS -> stateExchange.isWatcher
         ObjectKind.BACKEND_SERVERS -> stateExchange.isServerWatcher && platform.isStoreReachable
+        ObjectKind.ENTRY_JOB_STATES -> jobStates.isNeeded
         else -> stateExchange.isWatcher && platform.isStoreReachable
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobRunner.kt
@@ -89,6 +89,9 @@
         startWaitingItems()
     }
 
+    /** Whether this node runs a job that has items without a result and was not cancelled. */
+    val hasUnfinishedJobs: Boolean get() = activeJobs.values.any { !it.isStopped && !it.log.isComplete }
+
     /** Unfinished jobs that this node took over. */
     fun takenOverJobs(): List<String> =
         activeJobs.values.filter { it.isTakenOver && !it.log.isComplete }.map { it.job.id }
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobRunnerFixture.kt
@@ -120,6 +120,7 @@
     )
     val members = FleetMembers(self, timer)
     private val store = SlowStore(InMemoryObjectStore())
+    val objects: ObjectStore get() = store
     val jobStore = JobStore(store, IdempotentWriter(store, timer, "vm-1/1"))
     val scope = CoroutineScope(dispatcher)
     val cancelledJobs = CancelledJobs(timer)
--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -158,6 +158,12 @@
         dropHistory()
     }
 
+    /** Writes an object and drops the history, so that watches get 410 and no event of the change. */
+    fun putUnseen(kind: String, name: String, spec: JsonObject) = synchronized(monitor) {
+        put(kind, name, spec)
+        dropHistory()
+    }
+
     private fun handle(exchange: HttpExchange) {
         calls.incrementAndGet()
         if (responseDelayMillis > 0) LockSupport.parkNanos(responseDelayMillis * NANOS_PER_MILLI)
