--- a/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
+++ b/standins/src/main/kotlin/ragwortbarrow/standins/operators/OperatorStoreStandIn.kt
@@ -19,6 +19,7 @@
 import kotlinx.serialization.json.putJsonObject
 import ragwortbarrow.core.time.NANOS_PER_MILLI
 import java.net.InetSocketAddress
+import java.net.URLDecoder
 import java.util.TreeMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
@@ -54,6 +55,10 @@
     @Volatile
     var isDown = false
 
+    /** Lists always begin with their first page. */
+    @Volatile
+    var isStuck = false
+
     /** Delays the response to each call. */
     @Volatile
     var responseDelayMillis = 0L
@@ -168,9 +173,9 @@
         calls.incrementAndGet()
         if (responseDelayMillis > 0) LockSupport.parkNanos(responseDelayMillis * NANOS_PER_MILLI)
         if (isDown) return respond(exchange, 503, JsonObject(emptyMap()))
-        val parts = exchange.requestURI.path.removePrefix("/objects/").split('/')
-        val query = exchange.requestURI.query.orEmpty().split('&').filter { '=' in it }
-            .associate { it.substringBefore('=') to it.substringAfter('=') }
+        val parts = exchange.requestURI.rawPath.removePrefix("/objects/").split('/').map(::percentDecode)
+        val query = exchange.requestURI.rawQuery.orEmpty().split('&').filter { '=' in it }
+            .associate { it.substringBefore('=') to percentDecode(it.substringAfter('=')) }
         val kind = parts[0]
         val name = parts.getOrNull(1)
         val bytes = exchange.requestBody.readBytes()
@@ -191,11 +196,13 @@
         respond(exchange, status, document)
     }
 
+    private fun percentDecode(text: String) = URLDecoder.decode(text.replace("+", "%2B"), Charsets.UTF_8)
+
     private fun read(kind: String, name: String?, query: Map<String, String>): Pair<Int, JsonElement> = when {
         name != null -> synchronized(monitor) { kinds[kind]?.get(name) }?.let { 200 to it.document() }
             ?: (404 to JsonObject(emptyMap()))
         "watch" in query -> watch(kind, query.getValue("watch").toLong(), query["wait_ms"]?.toLong() ?: 0)
-        else -> synchronized(monitor) { 200 to page(kind, query["after"]) }
+        else -> synchronized(monitor) { 200 to page(kind, query["after"].takeUnless { isStuck }) }
     }
 
     private fun page(kind: String, after: String?) = buildJsonObject {
