Log the error that ended a watch also if it has no message

Cause: only the message of the error was logged, and a StackOverflowError has none. Change: the error itself is logged, with its class. Figures: the new case of KindWatcherTest failed before (reason "null") and passes.

--- a/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/store/KindWatcher.kt
@@ -58,7 +58,7 @@
             if (isElected()) {
                 val reason = runCatching { listAndWatch() }
                     .onFailure { if (it is CancellationException) throw it }
-                    .fold({ it }, { it.message })
+                    .fold({ it }, { it.toString() })
                 decisionLog.record("platform_watch_ended", "kind" to kind.path, "reason" to reason)
                 timer.pause(retryMillis / 2 + random.nextLong(retryMillis))
             } else {
--- a/core/src/test/kotlin/ragwortbarrow/core/store/KindWatcherTest.kt
+++ b/core/src/test/kotlin/ragwortbarrow/core/store/KindWatcherTest.kt
@@ -1,5 +1,6 @@
 package ragwortbarrow.core.store
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.unwrap
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.flow.Flow
@@ -11,6 +12,7 @@
 import kotlinx.coroutines.test.runTest
 import kotlinx.serialization.json.JsonObject
 import org.junit.jupiter.api.Test
+import ragwortbarrow.core.log.DecisionLog
 import ragwortbarrow.core.time.ManualTimerService
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -53,14 +55,37 @@
         expectThat(memory.calls).isEqualTo(before)
     }
 
-    private fun TestScope.start(isElected: () -> Boolean = { true }) = KindWatcher(
+    /** Guards against watches that end again and again with nothing in the log that shows why. */
+    @Test
+    fun `an error without a message is named in the log`() = runTest {
+        val reasons = ArrayList<Any?>()
+        val failing = object : ObjectStore by memory {
+            override suspend fun list(
+                kind: ObjectKind,
+                labels: Map<String, String>,
+                limit: Int,
+                continueToken: String?,
+                metadataOnly: Boolean,
+            ): Result<ObjectPage, StoreError> = throw StackOverflowError()
+        }
+        start(failing, { event, fields -> if (event == "platform_watch_ended") reasons += fields.toMap()["reason"] })
+        run(2_000)
+        expectThat(reasons.first().toString()).contains("StackOverflowError")
+    }
+
+    private fun TestScope.start(
+        store: ObjectStore = SilenceableWatches(),
+        log: DecisionLog = DecisionLog.NONE,
+        isElected: () -> Boolean = { true },
+    ) = KindWatcher(
         kind = kind,
-        store = SilenceableWatches(),
+        store = store,
         timer = timer,
         scope = backgroundScope,
         isElected = isElected,
         onChanged = { seen += it.name },
         onConfirmed = { confirmations++ },
+        decisionLog = log,
         random = Random(1),
     ).start()
 
