Announce ends that were read from the store before they were handled here

What callers saw: nothing; found in the read-through. An end whose change came by the watch before its own write was answered was remembered as stored elsewhere, and this node did not announce it. Change: an end that a node handles or hears of is announced also if the store had told of it.

--- a/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
+++ b/core/src/main/kotlin/ragwortbarrow/core/jobs/JobStore.kt
@@ -52,7 +52,7 @@
             buildMap { states.forEach { (name, state) -> if (state != null) put(name, state) } }
         }
 
-    /** The state of a job as read from the store by another part; null if it is unreadable. */
+    /** The state of a job that was listed or watched; null if it is unreadable. */
     fun decodeState(stored: StoredObject): JobState? = stored.decodeOrReport<JobState>()
 
     /** The state of a job; the default state if it was never taken over, cancelled or finished. */
--- a/entry/src/main/kotlin/ragwortbarrow/entry/CancelledJobs.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/CancelledJobs.kt
@@ -13,17 +13,19 @@
     fun add(job: String) = addAll(listOf(job))
 
     /** Adds a job without announcing it: every node that runs jobs reads this end from the store itself. */
-    fun addStored(job: String) = put(job, announcedUntilMillis = Long.MIN_VALUE)
+    fun addStored(job: String) {
+        if (announcedUntilMillis.putIfAbsent(job, UNANNOUNCED) == null) onCancelled(job)
+    }
 
     operator fun contains(job: String): Boolean = job in announcedUntilMillis
 
     fun addAll(jobs: List<String>) {
         val untilMillis = timer.monotonicMillis() + announceMillis
-        for (job in jobs) put(job, untilMillis)
-    }
-
-    private fun put(job: String, announcedUntilMillis: Long) {
-        if (this.announcedUntilMillis.putIfAbsent(job, announcedUntilMillis) == null) onCancelled(job)
+        for (job in jobs) {
+            val known = announcedUntilMillis[job]
+            if (known == null || known == UNANNOUNCED) announcedUntilMillis[job] = untilMillis
+            if (known == null) onCancelled(job)
+        }
     }
 
     /** Jobs to announce to peers. Older ones are kept, so that [onCancelled] is not called twice for a job. */
@@ -32,4 +34,8 @@
         val nowMillis = timer.monotonicMillis()
         return announcedUntilMillis.filterValues { nowMillis < it }.keys.toList()
     }
+
+    private companion object {
+        const val UNANNOUNCED = Long.MIN_VALUE
+    }
 }
--- a/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/EntryNode.kt
@@ -360,7 +360,7 @@
         // While the store is unreachable, only this watcher retries.
         ObjectKind.PUBLISHED_CONFIGURATIONS -> stateExchange.isWatcher
         ObjectKind.BACKEND_SERVERS -> stateExchange.isServerWatcher && platform.isStoreReachable
-        ObjectKind.ENTRY_JOB_STATES -> jobStates.isNeeded
+        ObjectKind.ENTRY_JOB_STATES -> jobStates.isNeeded()
         else -> stateExchange.isWatcher && platform.isStoreReachable
     }
 
--- a/entry/src/main/kotlin/ragwortbarrow/entry/JobStateFollower.kt
+++ b/entry/src/main/kotlin/ragwortbarrow/entry/JobStateFollower.kt
@@ -20,12 +20,11 @@
     private var neededUntilMillis = Long.MIN_VALUE
 
     /** Whether to follow the states; stays true for a while after the last job, since each start costs a list. */
-    val isNeeded: Boolean
-        get() {
-            val nowMillis = timer.monotonicMillis()
-            if (runner.hasUnfinishedJobs) neededUntilMillis = nowMillis + LINGER_MILLIS
-            return nowMillis < neededUntilMillis
-        }
+    fun isNeeded(): Boolean {
+        val nowMillis = timer.monotonicMillis()
+        if (runner.hasUnfinishedJobs) neededUntilMillis = nowMillis + LINGER_MILLIS
+        return nowMillis < neededUntilMillis
+    }
 
     /** Applies a state that was listed or has changed. */
     fun update(stored: StoredObject) {
--- a/entry/src/test/kotlin/ragwortbarrow/entry/JobStateFollowerTest.kt
+++ b/entry/src/test/kotlin/ragwortbarrow/entry/JobStateFollowerTest.kt
@@ -89,16 +89,23 @@
         expectThat(fixture.cancelledJobs.recent()).isEmpty()
     }
 
+    @Test
+    fun `an end that this node handles is announced although it was read from the store first`() {
+        update(store(JobState(isCancelled = true)))
+        fixture.cancelledJobs.add("job")
+        expectThat(fixture.cancelledJobs.recent()).isEqualTo(listOf("job"))
+    }
+
     /** Each watch that waits costs calls to the platform. */
     @Test
     fun `states are followed while a job runs and for some time after it`() {
-        expectThat(follower.isNeeded).isFalse()
+        expectThat(follower.isNeeded()).isFalse()
         startJob()
-        expectThat(follower.isNeeded).isTrue()
+        expectThat(follower.isNeeded()).isTrue()
         fixture.runner.cancelJob("job")
         fixture.timer.advance(5_000)
-        expectThat(follower.isNeeded).isTrue()
+        expectThat(follower.isNeeded()).isTrue()
         fixture.timer.advance(10_000)
-        expectThat(follower.isNeeded).isFalse()
+        expectThat(follower.isNeeded()).isFalse()
     }
 }
