--- a/review/standins-3/Node.java
+++ b/review/standins-3/Node.java
@@ -11,7 +11,9 @@
 
 /** An entry node, started with the command of the deploy file; like the platform it restarts a process that ends. */
 final class Node implements AutoCloseable {
-    private static final long RESTART_MILLIS = 500;
+    /** A process that was killed is back within a second; one that ended by itself is restarted after a short delay. */
+    private static final long BACK_MILLIS = 500;
+    private static final long RESTART_MILLIS = 1_000;
 
     final String name;
     final int front;
@@ -84,13 +86,14 @@
                 if (killed) {
                     killed = false;
                     record.line("killed " + name);
+                    Thread.sleep(BACK_MILLIS);
                 } else {
                     synchronized (ownEnds) {
                         ownEnds.add(record.seconds() + " code " + code);
                     }
                     record.line("END BY ITSELF " + name + " code " + code);
+                    Thread.sleep(RESTART_MILLIS);
                 }
-                Thread.sleep(RESTART_MILLIS);
             }
         } catch (IOException failure) {
             record.line("could not start " + name + ": " + failure);
