--- a/review/14/run.sh
+++ b/review/13/run.sh
@@ -6,7 +6,7 @@
   echo "build first: the build line of deploy/system.toml, then review/build-3.sh" >&2
   exit 2
 fi
-timeout -k 5 117 java -Xmx2g -XX:+UseSerialGC -Dsun.net.httpserver.nodelay=true -cp target/review-3 CrashAfterEvent "review/14"
+timeout -k 5 117 java -Xmx2g -XX:+UseSerialGC -Dsun.net.httpserver.nodelay=true -cp target/review-3 CrashAfterEvent "review/13"
 code=$?
 [ "$code" = 0 ] || [ "$code" = 1 ] || code=2
 exit "$code"
